--- /dev/null
+++ b/cmake/BalsammillLibrary.cmake
@@ -0,0 +1,32 @@
+# Compile options that every target of this project shares.
+add_library(balsammill_options INTERFACE)
+target_compile_options(balsammill_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
+    $<$<BOOL:${BALSAMMILL_WARNINGS_AS_ERRORS}>:-Werror>)
+if(BALSAMMILL_SANITIZE)
+    target_compile_options(balsammill_options INTERFACE -fsanitize=${BALSAMMILL_SANITIZE} -fno-omit-frame-pointer)
+    target_link_options(balsammill_options INTERFACE -fsanitize=${BALSAMMILL_SANITIZE})
+endif()
+
+# Defines the library balsammill_<name> from src/*.cpp, and the test program test_<name> from tests/*.cpp.
+# DEPENDS lists what the public headers need.
+function(balsammill_library name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    if(sources)
+        add_library(balsammill_${name} STATIC ${sources})
+        target_include_directories(balsammill_${name} PUBLIC include PRIVATE src)
+        target_link_libraries(balsammill_${name} PUBLIC ${ARG_DEPENDS} PRIVATE balsammill_options)
+    else()
+        add_library(balsammill_${name} INTERFACE)
+        target_include_directories(balsammill_${name} INTERFACE include)
+        target_link_libraries(balsammill_${name} INTERFACE ${ARG_DEPENDS})
+    endif()
+    file(GLOB tests CONFIGURE_DEPENDS tests/*.cpp)
+    if(tests)
+        add_executable(test_${name} ${tests} ${PROJECT_SOURCE_DIR}/cmake/DoctestMain.cpp)
+        target_include_directories(test_${name} PRIVATE src tests)
+        target_link_libraries(test_${name} PRIVATE balsammill_${name} ${ARG_TEST_DEPENDS} balsammill_options doctest::doctest)
+        add_test(NAME unit.${name} COMMAND test_${name})
+        set_tests_properties(unit.${name} PROPERTIES TIMEOUT 300)
+    endif()
+endfunction()
--- /dev/null
+++ b/libs/base/include/balsammill/base/Log.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "balsammill/base/Units.h"
+
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Balsammill {
+
+/// The part of the program that a log line comes from; printed as the line's prefix.
+enum class LogPart {
+    Main,
+    Rpc,
+    Dispatch,
+    Jobs,
+    Membership,
+    Config,
+    Peer,
+    Platform,
+    Operator,
+};
+
+std::string_view nameOf(LogPart);
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+std::optional<LogLevel> parseLogLevel(std::string_view);
+
+/// Sets up logging to standard error for the whole process. Lines read "<time> <level> <vm> [<part>] <text>".
+void configureLogging(std::string_view vmName, LogLevel minimum);
+
+void logMessage(LogPart, LogLevel, std::string_view text);
+
+inline void logDebug(LogPart part, std::string_view text) { logMessage(part, LogLevel::Debug, text); }
+inline void logInfo(LogPart part, std::string_view text) { logMessage(part, LogLevel::Info, text); }
+inline void logWarning(LogPart part, std::string_view text) { logMessage(part, LogLevel::Warning, text); }
+inline void logError(LogPart part, std::string_view text) { logMessage(part, LogLevel::Error, text); }
+
+/// Limits how often one kind of line is logged, so that a fault that repeats cannot flood the log.
+class LogLimiter {
+public:
+    explicit LogLimiter(Duration interval);
+
+    /// True if a line may be logged at this time; then suppressed() tells how many were not logged since the last one.
+    bool allow(TimePoint now);
+    std::uint64_t suppressed() const;
+
+private:
+    mutable std::mutex mutex_;
+    Duration interval_;
+    TimePoint nextAllowedAt_ {};
+    std::uint64_t suppressedSinceLast_ { 0 };
+    std::uint64_t lastSuppressed_ { 0 };
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/base/include/balsammill/base/RcuCell.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+
+#include <urcu/urcu-bp.h>
+
+namespace Balsammill {
+
+/// A value that is read on the request path without locks and replaced rarely.
+///
+/// Readers take a shared pointer inside a short read-side section of userspace RCU; a writer swaps the holder and frees
+/// the old one after a grace period. The value itself lives on as long as a reader keeps the pointer.
+template <typename T> class RcuCell {
+public:
+    explicit RcuCell(std::shared_ptr<const T> initial = {})
+        : holder_(new Holder { std::move(initial) })
+    {
+    }
+
+    RcuCell(const RcuCell&) = delete;
+    RcuCell& operator=(const RcuCell&) = delete;
+
+    ~RcuCell() { delete holder_; }
+
+    std::shared_ptr<const T> load() const
+    {
+        urcu_bp_read_lock();
+        const Holder* holder = __atomic_load_n(&holder_, __ATOMIC_ACQUIRE);
+        std::shared_ptr<const T> value = holder->value;
+        urcu_bp_read_unlock();
+        return value;
+    }
+
+    /// Blocks for a grace period; not for the request path.
+    void store(std::shared_ptr<const T> value)
+    {
+        auto* next = new Holder { std::move(value) };
+        std::lock_guard lock(writerMutex_);
+        Holder* previous = __atomic_exchange_n(&holder_, next, __ATOMIC_ACQ_REL);
+        urcu_bp_synchronize_rcu();
+        delete previous;
+    }
+
+private:
+    struct Holder {
+        std::shared_ptr<const T> value;
+    };
+
+    Holder* holder_;
+    std::mutex writerMutex_;
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/base/include/balsammill/base/RpcError.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "balsammill/base/ErrorCode.h"
+#include "balsammill/base/Units.h"
+#include "balsammill/base/Verdict.h"
+
+#include <stdexcept>
+#include <string>
+
+namespace Balsammill {
+
+/// What a caller is told about a failed call.
+struct RpcErrorDetails {
+    ErrorCode code { ErrorCode::Internal };
+    std::string message;
+    Verdict verdict { Verdict::MayHaveRun };
+    /// Path of the request field that broke the schema; empty otherwise.
+    std::string field {};
+    /// Suggested delay before a retry; zero if none.
+    Duration retryAfter {};
+};
+
+/// A failed call as an exception.
+class RpcError : public std::runtime_error {
+public:
+    explicit RpcError(RpcErrorDetails);
+
+    const RpcErrorDetails& details() const { return details_; }
+
+private:
+    RpcErrorDetails details_;
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/base/include/balsammill/base/StrongId.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace Balsammill {
+
+/// A string whose type tells what it names.
+template <typename Tag> struct StrongId {
+    std::string value;
+
+    StrongId() = default;
+    explicit StrongId(std::string initial)
+        : value(std::move(initial))
+    {
+    }
+    auto operator<=>(const StrongId&) const = default;
+    bool empty() const { return value.empty(); }
+};
+
+using VmName = StrongId<struct VmNameTag>;
+using FailureDomain = StrongId<struct FailureDomainTag>;
+using TeamName = StrongId<struct TeamNameTag>;
+/// Full service name, "package.Service".
+using ServiceName = StrongId<struct ServiceNameTag>;
+/// Full method name, "package.Service/Method".
+using MethodName = StrongId<struct MethodNameTag>;
+/// Job id qualified by team and home failure domain; see JobKey's builder in the jobs library.
+using JobKey = StrongId<struct JobKeyTag>;
+/// "host:port" with a numeric host.
+using NetworkAddress = StrongId<struct NetworkAddressTag>;
+
+} // namespace Balsammill
+
+template <typename Tag> struct std::hash<Balsammill::StrongId<Tag>> {
+    std::size_t operator()(const Balsammill::StrongId<Tag>& id) const noexcept
+    {
+        return std::hash<std::string> {}(id.value);
+    }
+};
--- /dev/null
+++ b/libs/base/include/balsammill/base/Units.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+
+namespace Balsammill {
+
+/// Monotonic time with microsecond resolution. Decision logic takes it as an argument and never reads a clock.
+using Duration = std::chrono::microseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Reads the monotonic clock. Only code outside the decision logic calls it.
+inline TimePoint monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+/// A number whose type tells what it counts.
+template <typename Tag, typename Rep = std::uint64_t> struct StrongNumber {
+    Rep value {};
+
+    constexpr StrongNumber() = default;
+    constexpr explicit StrongNumber(Rep initial)
+        : value(initial)
+    {
+    }
+    constexpr auto operator<=>(const StrongNumber&) const = default;
+};
+
+using TaskId = StrongNumber<struct TaskIdTag>;
+using RequestId = StrongNumber<struct RequestIdTag>;
+/// Version of a shard's ownership; each conditional write of the shard record raises it by one.
+using Epoch = StrongNumber<struct EpochTag>;
+/// Identifies one run of a process on a VM; a later run has a higher number.
+using Incarnation = StrongNumber<struct IncarnationTag>;
+using ConfigVersion = StrongNumber<struct ConfigVersionTag>;
+using ShardIndex = StrongNumber<struct ShardIndexTag, std::uint32_t>;
+/// Units of concurrent work on an upstream.
+using Slots = StrongNumber<struct SlotsTag, std::uint32_t>;
+
+} // namespace Balsammill
+
+template <typename Tag, typename Rep> struct std::hash<Balsammill::StrongNumber<Tag, Rep>> {
+    std::size_t operator()(const Balsammill::StrongNumber<Tag, Rep>& number) const noexcept
+    {
+        return std::hash<Rep> {}(number.value);
+    }
+};
--- /dev/null
+++ b/libs/base/src/Log.cpp
@@ -0,0 +1,127 @@
+#include "balsammill/base/Log.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace Balsammill {
+
+namespace {
+
+// Passed as an argument, so that a '%' in the text is never read as a format.
+constexpr auto loggerId = "balsammill";
+
+el::Level toEasyLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return el::Level::Debug;
+    case LogLevel::Info:
+        return el::Level::Info;
+    case LogLevel::Warning:
+        return el::Level::Warning;
+    case LogLevel::Error:
+        return el::Level::Error;
+    }
+    return el::Level::Error;
+}
+
+} // namespace
+
+std::string_view nameOf(LogPart part)
+{
+    switch (part) {
+    case LogPart::Main:
+        return "main";
+    case LogPart::Rpc:
+        return "rpc";
+    case LogPart::Dispatch:
+        return "dispatch";
+    case LogPart::Jobs:
+        return "jobs";
+    case LogPart::Membership:
+        return "membership";
+    case LogPart::Config:
+        return "config";
+    case LogPart::Peer:
+        return "peer";
+    case LogPart::Platform:
+        return "platform";
+    case LogPart::Operator:
+        return "operator";
+    }
+    return "main";
+}
+
+std::optional<LogLevel> parseLogLevel(std::string_view text)
+{
+    if (text == "debug")
+        return LogLevel::Debug;
+    if (text == "info")
+        return LogLevel::Info;
+    if (text == "warning")
+        return LogLevel::Warning;
+    if (text == "error")
+        return LogLevel::Error;
+    return std::nullopt;
+}
+
+void configureLogging(std::string_view vmName, LogLevel minimum)
+{
+    el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
+    el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(
+        el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level " + std::string(vmName) + " %msg");
+    el::Loggers::getLogger(loggerId);
+    el::Loggers::reconfigureLogger(loggerId, configuration);
+    el::Loggers::setLoggingLevel(toEasyLevel(minimum));
+}
+
+void logMessage(LogPart part, LogLevel level, std::string_view text)
+{
+    const auto prefix = std::string("[") + std::string(nameOf(part)) + "] ";
+    switch (level) {
+    case LogLevel::Debug:
+        CLOG(DEBUG, loggerId) << prefix << text;
+        break;
+    case LogLevel::Info:
+        CLOG(INFO, loggerId) << prefix << text;
+        break;
+    case LogLevel::Warning:
+        CLOG(WARNING, loggerId) << prefix << text;
+        break;
+    case LogLevel::Error:
+        CLOG(ERROR, loggerId) << prefix << text;
+        break;
+    }
+}
+
+LogLimiter::LogLimiter(Duration interval)
+    : interval_(interval)
+{
+}
+
+bool LogLimiter::allow(TimePoint now)
+{
+    std::lock_guard lock(mutex_);
+    if (now < nextAllowedAt_) {
+        ++suppressedSinceLast_;
+        return false;
+    }
+    nextAllowedAt_ = now + interval_;
+    lastSuppressed_ = suppressedSinceLast_;
+    suppressedSinceLast_ = 0;
+    return true;
+}
+
+std::uint64_t LogLimiter::suppressed() const
+{
+    std::lock_guard lock(mutex_);
+    return lastSuppressed_;
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/rpc/include/balsammill/rpc/RpcMessages.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "balsammill/base/RpcError.h"
+#include "balsammill/base/StrongId.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace Balsammill {
+
+enum class Encoding {
+    Json,
+    Binary,
+};
+
+struct HeaderField {
+    std::string name;
+    std::string value;
+};
+
+/// One received unary call, its body complete.
+struct RpcRequest {
+    /// "package.Service/Method", or the plain path of a GET request.
+    MethodName method;
+    Encoding encoding { Encoding::Json };
+    std::string body;
+    TeamName team;
+    /// From Connect-Timeout-Ms, counted from the arrival of the request line.
+    std::optional<TimePoint> deadline;
+    TimePoint receivedAt;
+    /// Value of "Authorization: Bearer"; empty if absent.
+    std::string bearerToken;
+    /// From Balsammill-Task-Id; empty if absent.
+    std::string taskId;
+};
+
+/// The answer to a call that ran.
+struct RpcAnswer {
+    Encoding encoding { Encoding::Json };
+    std::string body;
+    Verdict verdict { Verdict::Ran };
+};
+
+/// Handles one call; throws RpcError to refuse or fail it.
+using RpcHandler = std::function<RpcAnswer(const RpcRequest&)>;
+
+/// Answer of a plain GET page such as /healthz or /metrics.
+struct PageAnswer {
+    int status { 200 };
+    std::string contentType { "text/plain; charset=utf-8" };
+    std::string body;
+};
+
+using PageHandler = std::function<PageAnswer()>;
+
+} // namespace Balsammill
