Add the shared views of members and configuration

Cause: several modules read the same member list and configuration. Conclusion: modules can be written against these types in parallel.

--- a/libs/base/include/balsammill/base/StrongId.h
+++ b/libs/base/include/balsammill/base/StrongId.h
@@ -29,6 +29,7 @@
 using MethodName = StrongId<struct MethodNameTag>;
 /// Job id qualified by team and home failure domain; see JobKey's builder in the jobs library.
 using JobKey = StrongId<struct JobKeyTag>;
+using JobId = StrongId<struct JobIdTag>;
 /// "host:port" with a numeric host.
 using NetworkAddress = StrongId<struct NetworkAddressTag>;
 
--- /dev/null
+++ b/libs/config/include/balsammill/config/ActiveConfig.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "balsammill/base/Units.h"
+
+#include <memory>
+
+namespace balsammill::v1 {
+class DeploymentConfig;
+}
+
+namespace Balsammill {
+
+class Schema;
+
+/// The configuration in force together with its compiled schema; immutable.
+struct ActiveConfig {
+    std::shared_ptr<const balsammill::v1::DeploymentConfig> content;
+    std::shared_ptr<const Schema> schema;
+    ConfigVersion version;
+};
+
+} // namespace Balsammill
--- a/libs/peer/include/balsammill/peer/PeerTransport.h
+++ b/libs/peer/include/balsammill/peer/PeerTransport.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "balsammill/base/StrongId.h"
-#include "balsammill/base/Units.h"
+#include "balsammill/base/ProcessId.h"
 
 #include <cstdint>
 #include <functional>
@@ -16,14 +15,6 @@
 
 namespace Balsammill {
 
-/// One run of the entry process on a VM.
-struct ProcessId {
-    VmName vm;
-    Incarnation incarnation;
-
-    auto operator<=>(const ProcessId&) const = default;
-};
-
 /// Called on a receiver thread for each authentic message.
 using PeerHandler = std::function<void(const ProcessId& sender, const balsammill::internal::PeerMessage&)>;
 
