--- a/libs/schema/include/balsammill/schema/MethodInfo.h
+++ b/libs/schema/include/balsammill/schema/MethodInfo.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace google::protobuf {
+namespace google::protobuf { // NOLINT(readability-identifier-naming)
 class Descriptor;
 }
 
--- /dev/null
+++ b/libs/schema/src/SchemaFiles.cpp
@@ -0,0 +1,80 @@
+#include "SchemaFiles.h"
+
+#include "EmbeddedOptions.h"
+
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+
+#include <algorithm>
+
+namespace Balsammill::Detail {
+
+namespace {
+
+constexpr auto optionsPath = "balsammill/options.proto";
+// The compiler recurses once per nested block, so unbounded nesting would overflow the stack.
+constexpr int maxBlockNesting = 64;
+
+int blockNesting(std::string_view text)
+{
+    int depth = 0;
+    int deepest = 0;
+    for (char c : text) {
+        if (c == '{')
+            deepest = std::max(deepest, ++depth);
+        else if (c == '}')
+            --depth;
+    }
+    return deepest;
+}
+
+bool isWellKnown(std::string_view path) { return path.starts_with("google/protobuf/"); }
+
+} // namespace
+
+SchemaFiles::SchemaFiles(const std::vector<SchemaSource>& sources)
+{
+    texts_[optionsPath] = embeddedOptionsText;
+    for (const auto& source : sources)
+        add(source);
+}
+
+void SchemaFiles::add(const SchemaSource& source)
+{
+    auto reject = [&](std::string cause) { faults_.push_back({ .file = source.path, .cause = std::move(cause) }); };
+    if (source.path.empty())
+        return reject("a schema file without a path");
+    if (isWellKnown(source.path))
+        return reject("the path is reserved for the well-known types");
+    if (const auto found = texts_.find(source.path); found != texts_.end()) {
+        if (source.path == optionsPath && found->second == source.text)
+            return;
+        return reject(
+            source.path == optionsPath ? "differs from the options.proto of this program" : "the path is listed twice");
+    }
+    if (blockNesting(source.text) > maxBlockNesting)
+        return reject("blocks are nested more than " + std::to_string(maxBlockNesting) + " levels deep");
+    texts_[source.path] = source.text;
+}
+
+google::protobuf::io::ZeroCopyInputStream* SchemaFiles::Open(const std::string& filename)
+{
+    auto found = texts_.find(filename);
+    if (found == texts_.end() && isWellKnown(filename)) {
+        const auto* known = google::protobuf::DescriptorPool::generated_pool()->FindFileByName(filename);
+        if (known != nullptr)
+            found = texts_.emplace(filename, known->DebugString()).first;
+    }
+    if (found == texts_.end())
+        return nullptr;
+    return new google::protobuf::io::ArrayInputStream(found->second.data(), static_cast<int>(found->second.size()));
+}
+
+std::string SchemaFiles::GetLastErrorMessage() { return "File is not part of the schema."; }
+
+void FaultCollector::AddError(const std::string& filename, int line, int column, const std::string& message)
+{
+    faults_.push_back({ .file = filename, .line = line + 1, .column = column + 1, .cause = message });
+}
+
+} // namespace Balsammill::Detail
