Serve and call the Connect protocol over POCO sockets

Cause: callers, upstreams and the command line use Connect unary calls. Change: ConnectServer on POCO's TCPServer, callOnce, fetchPage and UpstreamPool on POCO's StreamSocket with one buffered stream that bounds whole messages by a deadline. POCO's HTTPServerConnection is not used because it answers malformed requests without a verdict; HTTPClientSession is not used because it sends again on its own after a failed write, which would break at-most-once. Public option structs got default member initialisers. Conclusion: a first working version; limits and malformed requests get their tests next.

--- a/libs/rpc/include/balsammill/rpc/ConnectClient.h
+++ b/libs/rpc/include/balsammill/rpc/ConnectClient.h
@@ -8,9 +8,9 @@
     NetworkAddress address;
     MethodName method;
     Encoding encoding { Encoding::Json };
-    std::string body;
-    TeamName team;
-    std::string bearerToken;
+    std::string body {};
+    TeamName team {};
+    std::string bearerToken {};
     TimePoint deadline;
 };
 
--- a/libs/rpc/include/balsammill/rpc/ConnectServer.h
+++ b/libs/rpc/include/balsammill/rpc/ConnectServer.h
@@ -11,16 +11,16 @@
 
 struct ConnectServerOptions {
     /// Numeric host and port; port 0 lets the system choose.
-    NetworkAddress listenAddress;
+    NetworkAddress listenAddress {};
     std::size_t maxBodyBytes { 4 * 1024 * 1024 };
     std::size_t maxHeaderBytes { 16 * 1024 };
     std::size_t maxConnections { 1024 };
     /// A caller that sends its headers or body slower than this is cut off.
     Duration receiveTimeout { std::chrono::seconds(10) };
     Duration keepAliveTimeout { std::chrono::seconds(60) };
-    RpcHandler handler;
+    RpcHandler handler {};
     /// GET pages by path.
-    std::map<std::string, PageHandler> pages;
+    std::map<std::string, PageHandler> pages {};
 };
 
 /// Serves unary calls in the Connect protocol over HTTP/1.1, a thread per connection.
--- a/libs/rpc/include/balsammill/rpc/UpstreamPool.h
+++ b/libs/rpc/include/balsammill/rpc/UpstreamPool.h
@@ -12,7 +12,7 @@
     /// Binary protobuf.
     std::string body;
     /// Sent as Balsammill-Task-Id, so that an upstream's start log names the task.
-    std::string taskId;
+    std::string taskId {};
     std::uint32_t attempt { 1 };
     TimePoint deadline;
 };
--- /dev/null
+++ b/libs/rpc/src/ConnectClient.cpp
@@ -0,0 +1,70 @@
+#include "balsammill/rpc/ConnectClient.h"
+
+#include "ClientExchange.h"
+#include "HttpHeader.h"
+#include "NumericAddress.h"
+
+#include <stdexcept>
+
+namespace Balsammill {
+
+namespace {
+
+constexpr std::size_t maxAnswerBytes = 64 * 1024 * 1024;
+constexpr Duration connectTimeout = std::chrono::seconds(2);
+
+std::unique_ptr<Detail::HttpStream> connectTo(const NetworkAddress& address, TimePoint deadline)
+{
+    try {
+        return Detail::openStream(Detail::parseNumericAddress(address), connectTimeout, deadline);
+    } catch (const std::invalid_argument& error) {
+        throw RpcError({ .code = ErrorCode::InvalidArgument, .message = error.what(), .verdict = Verdict::NotRun });
+    }
+}
+
+Detail::HttpAnswer exchangeOnce(
+    const NetworkAddress& address, std::string_view head, std::string_view body, TimePoint deadline)
+{
+    const auto stream = connectTo(address, deadline);
+    std::size_t written = 0;
+    try {
+        return Detail::sendAndReceive(*stream, head, body, maxAnswerBytes, deadline, written);
+    } catch (const Detail::StreamFault& fault) {
+        throw RpcError(Detail::describeFault(fault, written, address));
+    }
+}
+
+} // namespace
+
+RpcAnswer callOnce(const ConnectCall& call)
+{
+    auto lines = Detail::formatHeaderLine("Balsammill-Team", call.team.value);
+    if (!call.bearerToken.empty())
+        lines += Detail::formatHeaderLine("Authorization", "Bearer " + call.bearerToken);
+    lines += "Connection: close\r\n";
+    const auto head = Detail::formatCallHead({ .address = call.address,
+        .method = call.method,
+        .encoding = call.encoding,
+        .bodyBytes = call.body.size(),
+        .deadline = call.deadline,
+        .extraLines = std::move(lines) });
+    auto answer = exchangeOnce(call.address, head, call.body, call.deadline);
+    if (auto error = Detail::errorOf(answer, call.encoding, call.address))
+        throw RpcError(std::move(*error));
+    return {
+        .encoding = call.encoding, .body = std::move(answer.body), .verdict = answer.verdict.value_or(Verdict::Ran)
+    };
+}
+
+PageAnswer fetchPage(const NetworkAddress& address, const std::string& path, TimePoint deadline)
+{
+    if (!Detail::isFieldText(path) || path.find(' ') != std::string::npos || !path.starts_with('/'))
+        throw RpcError({ .code = ErrorCode::InvalidArgument,
+            .message = "'" + path + "' is not the path of a page",
+            .verdict = Verdict::NotRun });
+    const auto head = "GET " + path + " HTTP/1.1\r\nHost: " + address.value + "\r\nConnection: close\r\n\r\n";
+    auto answer = exchangeOnce(address, head, {}, deadline);
+    return { .status = answer.status, .contentType = std::move(answer.contentType), .body = std::move(answer.body) };
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/rpc/src/ServerConnection.cpp
@@ -0,0 +1,228 @@
+#include "ServerConnection.h"
+
+#include "ClientExchange.h"
+#include "ErrorBody.h"
+#include "HttpAnswerText.h"
+
+#include <Poco/Exception.h>
+
+namespace Balsammill::Detail {
+
+namespace {
+
+// After a refusal, the rest of the request is discarded for this long so that the peer can read the answer.
+constexpr Duration discardTime = std::chrono::seconds(1);
+constexpr auto jsonType = "application/json";
+
+class InFlight {
+public:
+    explicit InFlight(ServerState& state)
+        : state_(state)
+    {
+        state_.beginRequest();
+    }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+    ~InFlight() { state_.endRequest(); }
+
+private:
+    ServerState& state_;
+};
+
+RpcErrorDetails unavailable(const char* message)
+{
+    return { .code = ErrorCode::Unavailable, .message = message, .verdict = Verdict::NotRun };
+}
+
+RpcErrorDetails handlerFault(const char* cause)
+{
+    return { .code = ErrorCode::Internal,
+        .message = std::string("the handler failed: ") + cause,
+        .verdict = Verdict::MayHaveRun };
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(const Poco::Net::StreamSocket& socket, ServerState& state)
+    : TCPServerConnection(socket)
+    , state_(state)
+    , stream_(socket)
+{
+}
+
+void ServerConnection::run()
+{
+    if (!state_.addStream(stream_))
+        return;
+    try {
+        serveRequests();
+    } catch (const std::exception& error) {
+        logWarning(LogPart::Rpc, std::string("Connection ended: ") + error.what());
+    }
+    state_.removeStream(stream_);
+}
+
+void ServerConnection::serveRequests()
+{
+    socket().setNoDelay(true);
+    while (!state_.isStopping()) {
+        if (!stream_.waitForData(monotonicNow() + state_.options.keepAliveTimeout))
+            return;
+        if (!serveRequest(monotonicNow()))
+            return;
+    }
+}
+
+bool ServerConnection::serveRequest(TimePoint receivedAt)
+{
+    std::string header;
+    try {
+        header = stream_.readHeader(state_.options.maxHeaderBytes, receivedAt + state_.options.receiveTimeout);
+    } catch (const StreamFault& fault) {
+        return refuseFault(fault);
+    }
+    const InFlight inFlight(state_);
+    try {
+        return serveReceived(header, receivedAt);
+    } catch (const StreamFault& fault) {
+        return refuseFault(fault);
+    } catch (const RequestRefused& refusal) {
+        return refuse(refusal.status(), refusal.details());
+    }
+}
+
+bool ServerConnection::serveReceived(const std::string& header, TimePoint receivedAt)
+{
+    auto head = parseRequestHead(header, receivedAt);
+    return head.isPage ? servePage(head) : serveCall(std::move(head));
+}
+
+bool ServerConnection::serveCall(RequestHead head)
+{
+    if (state_.draining)
+        return refuse(httpStatus(ErrorCode::Unavailable), unavailable("this entry is draining"));
+    readBody(head, head.request.body);
+    RpcAnswer answer;
+    try {
+        answer = handle(head.request);
+    } catch (const RpcError& error) {
+        return sendError(httpStatus(error.details().code), error.details(), head.keepAlive);
+    }
+    send(formatAnswerHead({ .status = 200,
+             .contentType = contentTypeOf(answer.encoding),
+             .bodyBytes = answer.body.size(),
+             .verdict = answer.verdict,
+             .close = !head.keepAlive }),
+        answer.body);
+    return head.keepAlive;
+}
+
+RpcAnswer ServerConnection::handle(const RpcRequest& request)
+{
+    if (request.deadline && *request.deadline <= monotonicNow())
+        throw RpcError({ .code = ErrorCode::DeadlineExceeded,
+            .message = "the deadline passed before the request was complete",
+            .verdict = Verdict::NotRun });
+    try {
+        return state_.options.handler(request);
+    } catch (const RpcError&) {
+        throw;
+    } catch (const Poco::Exception& error) {
+        throw RpcError(handlerFault(error.displayText().c_str()));
+    } catch (const std::exception& error) {
+        throw RpcError(handlerFault(error.what()));
+    }
+}
+
+bool ServerConnection::servePage(const RequestHead& head)
+{
+    std::string body;
+    readBody(head, body);
+    const auto& path = head.request.method.value;
+    const auto found = state_.options.pages.find(path.substr(0, path.find('?')));
+    if (found == state_.options.pages.end())
+        return sendError(404,
+            { .code = ErrorCode::NotFound, .message = "there is no page '" + path + "'", .verdict = Verdict::NotRun },
+            head.keepAlive);
+    PageAnswer page;
+    try {
+        page = found->second();
+    } catch (const std::exception& error) {
+        return sendError(500, handlerFault(error.what()), head.keepAlive);
+    }
+    send(formatAnswerHead({ .status = page.status,
+             .contentType = page.contentType,
+             .bodyBytes = page.body.size(),
+             .close = !head.keepAlive }),
+        page.body);
+    return head.keepAlive;
+}
+
+void ServerConnection::readBody(const RequestHead& head, std::string& body)
+{
+    const auto limit = state_.options.maxBodyBytes;
+    const auto length = head.framing.length.value_or(0);
+    if (length > limit)
+        throw StreamFault(StreamFaultKind::TooLarge,
+            "the body has " + std::to_string(length) + " bytes, at most " + std::to_string(limit) + " are allowed");
+    if (head.expectsContinue && !stream_.hasBufferedInput())
+        send("HTTP/1.1 100 Continue\r\n\r\n", {});
+    const auto deadline = monotonicNow() + state_.options.receiveTimeout;
+    if (head.framing.chunked)
+        stream_.readChunkedBody(limit, deadline, body);
+    else
+        stream_.readFixedBody(length, deadline, body);
+}
+
+bool ServerConnection::refuseFault(const StreamFault& fault)
+{
+    if (state_.isStopping())
+        return refuse(httpStatus(ErrorCode::Unavailable), unavailable("this entry is stopping"));
+    RpcErrorDetails details { .code = ErrorCode::InvalidArgument, .message = fault.what(), .verdict = Verdict::NotRun };
+    switch (fault.kind()) {
+    case StreamFaultKind::TooLarge:
+        details.code = ErrorCode::ResourceExhausted;
+        return refuse(413, details);
+    case StreamFaultKind::TimedOut:
+        details.code = ErrorCode::DeadlineExceeded;
+        details.message = "the request did not arrive in time";
+        return refuse(408, details);
+    case StreamFaultKind::Closed:
+        details.message = "the connection ended before the request was complete";
+        return refuse(400, details);
+    case StreamFaultKind::Malformed:
+        break;
+    }
+    return refuse(400, details);
+}
+
+bool ServerConnection::refuse(int status, const RpcErrorDetails& details)
+{
+    if (state_.refusalLog.allow(monotonicNow()))
+        logInfo(LogPart::Rpc,
+            "Request refused: " + details.message + " (" + std::to_string(state_.refusalLog.suppressed())
+                + " similar lines suppressed)");
+    sendError(status, details, false);
+    stream_.finishSending(monotonicNow() + discardTime);
+    return false;
+}
+
+bool ServerConnection::sendError(int status, const RpcErrorDetails& details, bool keepAlive)
+{
+    const auto body = formatErrorBody(details);
+    send(formatAnswerHead({ .status = status,
+             .contentType = jsonType,
+             .bodyBytes = body.size(),
+             .verdict = details.verdict,
+             .close = !keepAlive }),
+        body);
+    return keepAlive;
+}
+
+void ServerConnection::send(std::string_view head, std::string_view body)
+{
+    std::size_t written = 0;
+    stream_.write(head, body, monotonicNow() + state_.options.receiveTimeout, written);
+}
+
+} // namespace Balsammill::Detail
