Validate configurations and decide between concurrent changes

Cause: entries must adopt only newer, usable configurations, and operators change them concurrently. Change: findConfigFaults and buildActiveConfig report each fault with field, value and cause; applyChange drains, undrains, stops, resumes or replaces; ConfigStore adopts only a higher version, reports an equal version with other content, and answers a change with content to write, unchanged or conflict. A change of shards_per_domain is refused, because a resubmitted job would reach another shard and start again. Schema faults of a whole file have column 0. Conclusion: the control loop can be written against ConfigStore.

--- /dev/null
+++ b/libs/config/include/balsammill/config/ConfigValidation.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "balsammill/config/ActiveConfig.h"
+#include "balsammill/config/ConfigError.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace Balsammill {
+
+/// Largest values that a configuration may hold. 0 stands for a default wherever a field allows it.
+struct ConfigBounds {
+    static constexpr int schemaFiles = 256;
+    static constexpr std::size_t schemaBytes = 1024 * 1024;
+    static constexpr int services = 256;
+    static constexpr int teams = 1024;
+    static constexpr int failureDomains = 64;
+    static constexpr int drainedVms = 10'000;
+    static constexpr std::size_t nameBytes = 128;
+    static constexpr std::uint32_t slotsPerUpstream = 1024;
+    static constexpr std::uint32_t connectionsPerUpstream = 4096;
+    static constexpr std::uint32_t quotaWeight = 1'000'000;
+    static constexpr std::uint32_t minBodyBytes = 1024;
+    static constexpr std::uint32_t maxBodyBytes = 64 * 1024 * 1024;
+    static constexpr std::uint32_t tasksPerJob = 100'000;
+    static constexpr std::uint32_t queuedTasks = 10'000'000;
+    static constexpr std::uint32_t deadlineMs = 24 * 60 * 60 * 1000;
+    static constexpr std::uint32_t shardsPerDomain = 1024;
+};
+
+/// All faults of a configuration except those that need its compiled schema.
+std::vector<ConfigFault> findConfigFaults(const balsammill::v1::DeploymentConfig&);
+
+/// Validates the configuration, compiles its schema and puts both together. Throws ConfigError with all faults.
+std::shared_ptr<const ActiveConfig> buildActiveConfig(const balsammill::v1::DeploymentConfig&);
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/config/src/ConfigStore.cpp
@@ -0,0 +1,83 @@
+#include "balsammill/config/ConfigStore.h"
+
+#include "FaultList.h"
+
+#include "balsammill/config/ConfigValidation.h"
+
+#include <limits>
+
+namespace Balsammill {
+
+namespace {
+
+using balsammill::v1::DeploymentConfig;
+
+// The message has no map fields, so equal content has equal bytes.
+bool isSameContent(const DeploymentConfig& left, const DeploymentConfig& right)
+{
+    return left.SerializeAsString() == right.SerializeAsString();
+}
+
+[[noreturn]] void refuse(std::string field, const std::string& value, std::string cause)
+{
+    Detail::FaultList faults;
+    faults.add(std::move(field), value, std::move(cause));
+    throw ConfigError(faults.take());
+}
+
+// A job's shard is hash(id) modulo this number. After a change, a resubmitted job would reach another shard, which
+// does not know it and would start its tasks again.
+void requireSameShards(const DeploymentConfig& current, const DeploymentConfig& next)
+{
+    if (current.version() != 0 && current.shards_per_domain() != next.shards_per_domain())
+        refuse("shards_per_domain", std::to_string(next.shards_per_domain()),
+            "cannot be changed from " + std::to_string(current.shards_per_domain()) + " while the deployment runs");
+}
+
+} // namespace
+
+RpcErrorDetails ConfigConflict::details() const
+{
+    return { .code = ErrorCode::Aborted,
+        .message = "the change is based on version " + std::to_string(expected.value) + ", but version "
+            + std::to_string(current.value) + " is in force",
+        .verdict = Verdict::NotRun };
+}
+
+ConfigVersion ConfigStore::version() const { return current_ ? current_->version : ConfigVersion(0); }
+
+AdoptResult ConfigStore::adopt(const DeploymentConfig& offered)
+{
+    const ConfigVersion offeredVersion(offered.version());
+    if (offered.version() < version().value)
+        return ConfigOutdated { .offered = offeredVersion, .current = version() };
+    if (current_ && offeredVersion == version()) {
+        if (isSameContent(offered, *current_->content))
+            return ConfigAlreadyInForce {};
+        return ConfigDivergent { .version = offeredVersion,
+            .offeredChangeId = offered.change_id(),
+            .currentChangeId = current_->content->change_id() };
+    }
+    current_ = buildActiveConfig(offered);
+    return ConfigAdopted { .config = current_ };
+}
+
+PrepareResult ConfigStore::prepare(
+    const ConfigChange& change, ConfigVersion expected, const std::string& changeId) const
+{
+    if (expected != version())
+        return ConfigConflict { .expected = expected, .current = version() };
+    if (expected.value == std::numeric_limits<std::uint64_t>::max())
+        refuse("version", std::to_string(expected.value), "is the last possible version");
+    const auto base = current_ ? *current_->content : DeploymentConfig();
+    auto next = applyChange(base, change);
+    if (current_ && isSameContent(base, next))
+        return ConfigUnchanged { .version = expected };
+    next.set_version(expected.value + 1);
+    next.set_change_id(changeId);
+    buildActiveConfig(next);
+    requireSameShards(base, next);
+    return ConfigPrepared { .next = std::move(next) };
+}
+
+} // namespace Balsammill
--- a/libs/schema/src/SchemaFiles.cpp
+++ b/libs/schema/src/SchemaFiles.cpp
@@ -74,7 +74,10 @@
 
 void FaultCollector::AddError(const std::string& filename, int line, int column, const std::string& message)
 {
-    faults_.push_back({ .file = filename, .line = line + 1, .column = column + 1, .cause = message });
+    // The compiler counts from 0 and reports line -1 for faults of a whole file.
+    const bool isLocated = line >= 0;
+    faults_.push_back(
+        { .file = filename, .line = isLocated ? line + 1 : 0, .column = isLocated ? column + 1 : 0, .cause = message });
 }
 
 } // namespace Balsammill::Detail
