Add the first version of the scheduler

Cause: entry processes need admission, queue order, placement and upstream health as decision logic without sockets, threads or clocks.

--- /dev/null
+++ b/libs/policy/src/FairQueue.cpp
@@ -0,0 +1,217 @@
+#include "FairQueue.h"
+
+#include <algorithm>
+
+namespace Balsammill::Detail {
+
+namespace {
+
+// Tasks of a longer size class are overtaken for at least this long, so that a short burst of small tasks passes.
+constexpr Duration minOvertakingAge = std::chrono::milliseconds(500);
+// A late correction may put a flow at most this much work of all slots behind the others. Without the bound, a method
+// that used idle slots for long tasks would be locked out once other work arrives.
+constexpr double maxCorrectionLeadMicros = 2'000'000;
+// Team names come from callers; idle teams beyond this number are dropped.
+constexpr std::size_t minTeamLimit = 1024;
+
+Duration overtakingAge(const TaskRecord& task)
+{
+    const auto expected = task.runTimes->expected(task.sizeClass);
+    return std::min(std::max(minOvertakingAge, 2 * expected), (task.spec.deadline - task.queuedAt) / 2);
+}
+
+} // namespace
+
+template <typename Flow> void FlowLevel<Flow>::activate(Flow& flow)
+{
+    flow.startTag = std::max(flow.startTag, virtualTime);
+    flow.position = backlogged.insert({ flow.startTag, flow.number, &flow }).first;
+    flow.active = true;
+    backloggedWeight += flow.weight;
+}
+
+template <typename Flow> void FlowLevel<Flow>::deactivate(Flow& flow)
+{
+    backlogged.erase(flow.position);
+    flow.active = false;
+    backloggedWeight -= flow.weight;
+}
+
+template <typename Flow> void FlowLevel<Flow>::charge(Flow& flow, double slotMicros)
+{
+    flow.startTag += slotMicros / static_cast<double>(flow.weight);
+    if (!flow.active)
+        return;
+    backlogged.erase(flow.position);
+    flow.position = backlogged.insert({ flow.startTag, flow.number, &flow }).first;
+}
+
+namespace {
+
+template <typename Flow> void correct(FlowLevel<Flow>& level, Flow& flow, double slotMicros, std::uint32_t totalSlots)
+{
+    if (slotMicros > 0) {
+        const auto weights = static_cast<double>(std::max<std::int64_t>(level.backloggedWeight, flow.weight));
+        const auto latestTag = level.virtualTime + maxCorrectionLeadMicros * totalSlots / weights;
+        const auto allowed = std::max(0.0, latestTag - flow.startTag) * static_cast<double>(flow.weight);
+        slotMicros = std::min(slotMicros, allowed);
+    }
+    level.charge(flow, slotMicros);
+}
+
+} // namespace
+
+FairQueue::FairQueue(RunTimeEstimates& estimates, const std::map<TeamName, std::uint32_t>& weights)
+    : estimates_(&estimates)
+    , weights_(weights)
+    , teamLimit_(minTeamLimit)
+{
+}
+
+void FairQueue::setTeamWeights(const std::map<TeamName, std::uint32_t>& weights)
+{
+    weights_ = weights;
+    for (auto& [name, flow] : teamsByName_) {
+        const auto found = weights_.find(name);
+        const std::int64_t weight = found == weights_.end() ? 1 : std::max(1U, found->second);
+        if (flow->active)
+            teams_.backloggedWeight += weight - flow->weight;
+        flow->weight = weight;
+    }
+}
+
+void FairQueue::dropIdleTeams()
+{
+    std::erase_if(teamsByName_, [](const auto& entry) { return entry.second->references == 0; });
+    // The limit stays at twice the teams in use, so that the sweep is paid for by the teams added since the last one.
+    teamLimit_ = std::max(minTeamLimit, 2 * teamsByName_.size());
+}
+
+TeamFlow& FairQueue::team(const TeamName& name)
+{
+    if (const auto found = teamsByName_.find(name); found != teamsByName_.end())
+        return *found->second;
+    if (teamsByName_.size() >= teamLimit_)
+        dropIdleTeams();
+    auto flow = std::make_unique<TeamFlow>();
+    const auto weight = weights_.find(name);
+    flow->weight = weight == weights_.end() ? 1 : std::max(1U, weight->second);
+    flow->number = nextFlowNumber_++;
+    flow->name = name;
+    return *teamsByName_.emplace(name, std::move(flow)).first->second;
+}
+
+void FairQueue::bind(TaskRecord& task)
+{
+    auto& owner = team(task.spec.team);
+    auto& flow = owner.methods[task.spec.method];
+    if (!flow) {
+        flow = std::make_unique<MethodFlow>();
+        flow->team = &owner;
+        flow->runTimes = task.runTimes;
+        flow->number = nextFlowNumber_++;
+    }
+    const std::int64_t weight = std::max(1U, task.spec.urgencyWeight);
+    if (flow->active)
+        owner.level.backloggedWeight += weight - flow->weight;
+    flow->weight = weight;
+    task.flow = flow.get();
+}
+
+void FairQueue::insert(TaskRecord& task, bool atFront)
+{
+    auto& flow = *task.flow;
+    auto& tasks = flow.tasks[task.sizeClass];
+    atFront ? tasks.pushFront(task) : tasks.pushBack(task);
+    flow.queuedSlots[task.sizeClass] += task.spec.slots.value;
+    ++flow.references;
+    ++flow.team->references;
+    if (flow.queuedTasks++ == 0)
+        flow.team->level.activate(flow);
+    if (flow.team->queuedTasks++ == 0)
+        teams_.activate(*flow.team);
+}
+
+void FairQueue::push(TaskRecord& task) { insert(task, false); }
+
+void FairQueue::pushFront(TaskRecord& task) { insert(task, true); }
+
+void FairQueue::remove(TaskRecord& task)
+{
+    auto& flow = *task.flow;
+    flow.tasks[task.sizeClass].remove(task);
+    flow.queuedSlots[task.sizeClass] -= task.spec.slots.value;
+    --flow.references;
+    --flow.team->references;
+    if (--flow.queuedTasks == 0)
+        flow.team->level.deactivate(flow);
+    if (--flow.team->queuedTasks == 0)
+        teams_.deactivate(*flow.team);
+}
+
+TaskRecord& FairQueue::choose(MethodFlow& flow, TimePoint now) const
+{
+    TaskRecord* oldest = nullptr;
+    TaskRecord* shortest = nullptr;
+    for (std::size_t i = 0; i < sizeClassCount; ++i) {
+        auto* head = flow.tasks[i].front();
+        if (!head)
+            continue;
+        if (!oldest || head->arrival < oldest->arrival)
+            oldest = head;
+        if (!shortest || flow.runTimes->expected(i) < flow.runTimes->expected(shortest->sizeClass))
+            shortest = head;
+    }
+    if (oldest->arrival < 0 || now - oldest->queuedAt >= overtakingAge(*oldest))
+        return *oldest;
+    // Classes whose observed run times are close count as the same size, and keep the order of arrival.
+    const bool overtakes
+        = 2 * flow.runTimes->expected(shortest->sizeClass) <= flow.runTimes->expected(oldest->sizeClass);
+    return overtakes ? *shortest : *oldest;
+}
+
+TaskRecord* FairQueue::pop(TimePoint now)
+{
+    if (teams_.backlogged.empty())
+        return nullptr;
+    auto& team = *teams_.backlogged.begin()->flow;
+    auto& flow = *team.level.backlogged.begin()->flow;
+    auto& task = choose(flow, now);
+    teams_.virtualTime = std::max(teams_.virtualTime, team.startTag);
+    team.level.virtualTime = std::max(team.level.virtualTime, flow.startTag);
+    remove(task);
+    ++flow.references;
+    ++team.references;
+    task.charge = flow.runTimes->expected(task.sizeClass).count() * task.spec.slots.value;
+    team.level.charge(flow, static_cast<double>(task.charge));
+    teams_.charge(team, static_cast<double>(task.charge));
+    return &task;
+}
+
+void FairQueue::settle(TaskRecord& task, std::int64_t usedSlotMicros, std::uint32_t totalSlots)
+{
+    auto& flow = *task.flow;
+    const auto difference = static_cast<double>(usedSlotMicros - task.charge);
+    correct(flow.team->level, flow, difference, totalSlots);
+    correct(teams_, *flow.team, difference, totalSlots);
+    task.charge = 0;
+    --flow.references;
+    --flow.team->references;
+}
+
+std::int64_t FairQueue::slotMicrosAhead(const TaskRecord& task) const
+{
+    const auto& flow = *task.flow;
+    std::int64_t ownBacklog = 0;
+    for (std::size_t i = 0; i < sizeClassCount; ++i)
+        ownBacklog += flow.queuedSlots[i] * flow.runTimes->expected(i).count();
+    const auto shareOf = [](const auto& state, const auto& level) {
+        const auto total = level.backloggedWeight + (state.active ? 0 : state.weight);
+        return static_cast<double>(state.weight) / static_cast<double>(total);
+    };
+    const auto share = shareOf(*flow.team, teams_) * shareOf(flow, flow.team->level);
+    // A flow receives at least its share, and never waits for more than all the work that is queued.
+    return std::min(estimates_->queuedSlotMicros(), static_cast<std::int64_t>(static_cast<double>(ownBacklog) / share));
+}
+
+} // namespace Balsammill::Detail
--- /dev/null
+++ b/libs/policy/src/FifoQueue.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "RunTimeEstimates.h"
+#include "TaskRecord.h"
+
+#include <map>
+
+namespace Balsammill::Detail {
+
+/// First come, first served: the baseline for FairQueue, with the same interface.
+class FifoQueue {
+public:
+    explicit FifoQueue(RunTimeEstimates& estimates)
+        : estimates_(&estimates)
+    {
+    }
+
+    void setTeamWeights(const std::map<TeamName, std::uint32_t>&) { }
+    void bind(TaskRecord&) { }
+    void push(TaskRecord& task) { tasks_.pushBack(task); }
+    void pushFront(TaskRecord& task) { tasks_.pushFront(task); }
+    TaskRecord* pop(TimePoint)
+    {
+        auto* task = tasks_.front();
+        if (task)
+            tasks_.remove(*task);
+        return task;
+    }
+    void remove(TaskRecord& task) { tasks_.remove(task); }
+    void settle(TaskRecord&, std::int64_t, std::uint32_t) { }
+    bool empty() const { return tasks_.empty(); }
+    /// Zero, because the baseline has no flows.
+    std::size_t queuedInFlow(const TaskRecord&) const { return 0; }
+    std::int64_t slotMicrosAhead(const TaskRecord&) const { return estimates_->queuedSlotMicros(); }
+
+private:
+    TaskList tasks_;
+    RunTimeEstimates* estimates_;
+};
+
+} // namespace Balsammill::Detail
--- /dev/null
+++ b/libs/policy/src/RetryBudget.cpp
@@ -0,0 +1,36 @@
+#include "balsammill/policy/RetryBudget.h"
+
+#include <algorithm>
+
+namespace Balsammill {
+
+RetryBudget::Second& RetryBudget::current(TimePoint now)
+{
+    const auto second = now.time_since_epoch() / std::chrono::seconds(1);
+    const auto steps = std::min<std::int64_t>(second - lastSecond_, windowSeconds);
+    for (std::int64_t i = 0; i < steps; ++i)
+        seconds_[static_cast<std::size_t>(second - i) % windowSeconds] = {};
+    lastSecond_ = std::max<std::int64_t>(lastSecond_, second);
+    return seconds_[static_cast<std::size_t>(lastSecond_) % windowSeconds];
+}
+
+void RetryBudget::recordCall(TimePoint now) { ++current(now).calls; }
+
+bool RetryBudget::takeRetry(TimePoint now)
+{
+    auto& present = current(now);
+    std::uint64_t calls = 0;
+    std::uint64_t retries = 0;
+    for (const auto& second : seconds_) {
+        calls += second.calls;
+        retries += second.retries;
+    }
+    const bool withinShare = static_cast<double>(retries + 1) <= options_.share * static_cast<double>(calls);
+    const bool withinMinimum = present.retries + 1 <= options_.minPerSecond;
+    if (!withinShare && !withinMinimum)
+        return false;
+    ++present.retries;
+    return true;
+}
+
+} // namespace Balsammill
