Place retried tasks on another upstream

Cause: an upstream that fails fast always has free slots, so a task that was returned to the queue was placed on it again at high load.

Change: TaskSpec names the upstream to avoid; the task waits for another one as long as another is usable.

Conclusion: the dispatcher can retry elsewhere.

--- a/libs/policy/include/balsammill/policy/Scheduler.h
+++ b/libs/policy/include/balsammill/policy/Scheduler.h
@@ -26,6 +26,8 @@
     TimePoint deadline;
     /// Zero if only the total queue limit applies.
     std::uint32_t methodQueueLimit { 0 };
+    /// Upstream of a failed attempt; the task goes elsewhere as long as another upstream is usable. Empty if none.
+    VmName avoidUpstream {};
 };
 
 /// The task waits; it will be returned by nextAssignment() or takeExpired().
--- a/libs/policy/src/SchedulerDetail.h
+++ b/libs/policy/src/SchedulerDetail.h
@@ -40,6 +40,9 @@
     void returnToQueue(TaskRecord&);
     void expire(TaskRecord&);
     Assignment start(TaskRecord&, Balsammill::Detail::Upstream&, TimePoint now);
+    /// Starts a task that is out of the queue and ready, or gives up on it if its deadline has passed.
+    std::optional<Assignment> startHeld(TaskRecord&, Balsammill::Detail::Upstream&, TimePoint now);
+    std::optional<Assignment> nextHeld(TimePoint now);
     /// True if the search for an assignment goes on with the next task.
     bool holdForLater(TaskRecord&);
     void settle(TaskRecord&, std::int64_t usedSlotMicros);
@@ -53,6 +56,7 @@
     Balsammill::Detail::UpstreamSet upstreams;
     Balsammill::Detail::DeadlineWheel deadlines;
     std::unordered_map<TaskId, TaskRecord> tasks;
+    Balsammill::Detail::TaskList avoiding;
     Balsammill::Detail::TaskList parked;
     Balsammill::Detail::TaskList expired;
     std::size_t waitingTasks { 0 };
--- a/libs/policy/src/TaskRecord.h
+++ b/libs/policy/src/TaskRecord.h
@@ -13,6 +13,8 @@
     Queued,
     /// Out of the queue; an upstream is kept free for it because it needs several slots at once.
     Reserved,
+    /// Out of the queue; waits for a free slot on another upstream than the one that failed it.
+    Avoiding,
     /// Out of the queue; no present upstream has enough slots.
     Parked,
     /// Its deadline has passed; waits for takeExpired().
--- a/libs/policy/src/UpstreamSet.cpp
+++ b/libs/policy/src/UpstreamSet.cpp
@@ -67,6 +67,7 @@
     if (!isUsable(upstream))
         return;
     upstream.indexed = true;
+    ++usable_;
     upstream.indexedFree = freeOf(upstream);
     upstream.indexedLimit = limitOf(upstream);
     usableSlots_ += upstream.indexedLimit;
@@ -89,6 +90,7 @@
     if (!upstream.indexed)
         return;
     upstream.indexed = false;
+    --usable_;
     usableSlots_ -= upstream.indexedLimit;
     freeSlots_ -= upstream.indexedFree;
     reservable_.erase(&upstream);
@@ -220,6 +222,26 @@
     return *byFreeSlots_.begin();
 }
 
+Upstream* UpstreamSet::chooseElsewhere(Slots slots, const VmName& avoid)
+{
+    auto* chosen = choose(slots);
+    if (!chosen || avoid.empty() || chosen->spec.vm.value != avoid.value || usable_ == 1)
+        return chosen;
+    for (auto* candidate : byFreeSlots_) {
+        if (candidate != chosen)
+            return candidate->indexedFree >= slots.value ? candidate : nullptr;
+    }
+    return nullptr;
+}
+
+bool UpstreamSet::onlyAvoidedIsFree(Slots slots, const VmName& avoid) const
+{
+    if (avoid.empty() || usable_ <= 1 || byFreeSlots_.empty())
+        return false;
+    const auto& first = **byFreeSlots_.begin();
+    return first.spec.vm.value == avoid.value && first.indexedFree >= slots.value;
+}
+
 bool UpstreamSet::reserve(TaskRecord& task)
 {
     if (reservable_.empty() || (*reservable_.begin())->indexedLimit < task.spec.slots.value)
--- a/libs/policy/src/UpstreamSet.h
+++ b/libs/policy/src/UpstreamSet.h
@@ -58,6 +58,10 @@
 
     /// An upstream with this many free slots, the least loaded one or a random one; null if there is none.
     Upstream* choose(Slots);
+    /// The same, but passes over one upstream if its name is not empty and it is not the only usable one.
+    Upstream* chooseElsewhere(Slots, const VmName& avoid);
+    /// True if the only free slots are those that the task avoids, and it can wait for others.
+    bool onlyAvoidedIsFree(Slots, const VmName& avoid) const;
     /// Keeps an upstream free for a task that needs more slots than any has free; false if none is left to reserve.
     bool reserve(TaskRecord&);
     void cancelReservation(TaskRecord&);
@@ -109,6 +113,7 @@
     std::set<std::pair<TimePoint, Upstream*>> resumes_;
     std::vector<Upstream*> readyReservations_;
     std::uint64_t useCounter_ { 0 };
+    std::size_t usable_ { 0 };
     std::size_t present_ { 0 };
     std::size_t ejected_ { 0 };
     std::uint32_t maxSlots_ { 0 };
