--- /dev/null
+++ b/libs/entry/src/DispatchWork.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "balsammill/entry/Dispatcher.h"
+
+namespace Balsammill::Detail {
+
+enum class WorkState {
+    Queued,
+    Running,
+    Forwarded,
+    Done,
+};
+
+/// One task that the dispatcher has not completed yet. The mutex of the core guards everything below the completion.
+struct DispatchWork {
+    TaskId id;
+    DispatchTask task;
+    DispatchCompletion completion;
+
+    WorkState state { WorkState::Queued };
+    TimePoint submittedAt;
+    TimePoint startedAt;
+    std::uint32_t attempts { 0 };
+    /// An attempt may have run, so no later refusal may say not-run.
+    bool mayHaveRun { false };
+    VmName failedUpstream;
+};
+
+TaskSpec specOf(const DispatchWork&);
+/// Time before the last start, and on the upstream since then; both end now.
+Duration queuedTime(const DispatchWork&, TimePoint now);
+Duration runTime(const DispatchWork&, TimePoint now);
+
+} // namespace Balsammill::Detail
