--- a/libs/observe/include/balsammill/observe/Timeline.h
+++ b/libs/observe/include/balsammill/observe/Timeline.h
@@ -27,6 +27,9 @@
 
 std::string_view nameOf(EventKind);
 
+/// True if the event's subject is the given one or a task of it; an empty subject selects every event.
+bool concernsSubject(std::string_view eventSubject, std::string_view subject);
+
 struct TimelineEvent {
     /// Microseconds since the Unix epoch by the clock of this process.
     std::int64_t wallClockUs { 0 };
--- /dev/null
+++ b/libs/observe/src/Metrics.cpp
@@ -0,0 +1,237 @@
+#include "balsammill/observe/Metrics.h"
+
+#include "QuantileEstimator.h"
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <shared_mutex>
+#include <stdexcept>
+
+namespace Balsammill {
+
+namespace {
+
+// The team comes from a caller's header, so the number of series has to be bounded; further teams share one series.
+constexpr std::size_t maxCallSeries = 1024;
+constexpr auto overflowLabel = "other";
+
+constexpr std::array<double, 4> exportedQuantiles { 0.5, 0.9, 0.99, 0.999 };
+constexpr std::array<Verdict, 3> verdicts { Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran };
+
+double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+std::string formatNumber(double value)
+{
+    std::array<char, 40> buffer {};
+    const int length = std::snprintf(buffer.data(), buffer.size(), "%.9g", value);
+    return { buffer.data(), static_cast<std::size_t>(length) };
+}
+
+std::string escapeLabel(std::string_view text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        if (c == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (c == '\\' || c == '"')
+            escaped += '\\';
+        escaped += c;
+    }
+    return escaped;
+}
+
+void appendSample(std::string& text, std::string_view name, std::string_view labels, std::string_view value)
+{
+    text.append(name);
+    if (!labels.empty())
+        text.append("{").append(labels).append("}");
+    text.append(" ").append(value).append("\n");
+}
+
+void requireMetricName(std::string_view name)
+{
+    const auto isLetter
+        = [](char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_' || c == ':'; };
+    bool valid = !name.empty() && isLetter(name.front());
+    for (const char c : name)
+        valid = valid && (isLetter(c) || (c >= '0' && c <= '9'));
+    if (!valid)
+        throw std::invalid_argument("metric name: expected letters, digits and '_', got '" + std::string(name) + "'");
+}
+
+/// Calls of one method by one team.
+struct CallSeries {
+    std::mutex mutex;
+    Detail::QuantileEstimator response;
+    Detail::QuantileEstimator queued;
+    Detail::QuantileEstimator slowdown;
+    // By verdict, then by success.
+    std::array<std::array<std::uint64_t, 2>, 3> outcomes {};
+};
+
+/// Values by metric name and labels. A value is created under the exclusive lock and then changed under the shared one.
+template <typename Value> class ValueTable {
+public:
+    template <typename Change> void change(std::string_view name, std::string_view labels, Change apply)
+    {
+        {
+            std::shared_lock lock(mutex_);
+            auto byLabels = values_.find(name);
+            if (byLabels != values_.end()) {
+                auto value = byLabels->second.find(labels);
+                if (value != byLabels->second.end()) {
+                    apply(value->second);
+                    return;
+                }
+            }
+        }
+        requireMetricName(name);
+        std::unique_lock lock(mutex_);
+        auto& byLabels = values_.try_emplace(std::string(name)).first->second;
+        apply(byLabels.try_emplace(std::string(labels), Value {}).first->second);
+    }
+
+    template <typename Format> void append(std::string& text, std::string_view type, Format format) const
+    {
+        std::shared_lock lock(mutex_);
+        for (const auto& [name, byLabels] : values_) {
+            text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+            for (const auto& [labels, value] : byLabels)
+                appendSample(text, name, labels, format(value.load()));
+        }
+    }
+
+private:
+    mutable std::shared_mutex mutex_;
+    std::map<std::string, std::map<std::string, std::atomic<Value>, std::less<>>, std::less<>> values_;
+};
+
+using CallKey = std::pair<MethodName, TeamName>;
+
+std::string callLabels(const CallKey& key)
+{
+    return "method=\"" + escapeLabel(key.first.value) + "\",team=\"" + escapeLabel(key.second.value) + "\"";
+}
+
+} // namespace
+
+struct Metrics::Detail {
+    CallSeries& seriesOf(const CallSample&);
+    template <typename Visit> void forEachSeries(Visit) const;
+    void appendSummary(std::string&, std::string_view name, Balsammill::Detail::QuantileEstimator CallSeries::*) const;
+    void appendOutcomes(std::string&) const;
+
+    mutable std::shared_mutex mutex;
+    std::map<CallKey, std::unique_ptr<CallSeries>> calls;
+    ValueTable<std::uint64_t> counters;
+    ValueTable<double> gauges;
+};
+
+CallSeries& Metrics::Detail::seriesOf(const CallSample& sample)
+{
+    CallKey key { sample.method, sample.team };
+    {
+        std::shared_lock lock(mutex);
+        if (auto found = calls.find(key); found != calls.end())
+            return *found->second;
+    }
+    std::unique_lock lock(mutex);
+    if (calls.size() >= maxCallSeries && !calls.contains(key))
+        key = { MethodName(overflowLabel), TeamName(overflowLabel) };
+    auto& series = calls[key];
+    if (!series)
+        series = std::make_unique<CallSeries>();
+    return *series;
+}
+
+template <typename Visit> void Metrics::Detail::forEachSeries(Visit visit) const
+{
+    std::shared_lock lock(mutex);
+    for (const auto& [key, series] : calls) {
+        std::lock_guard seriesLock(series->mutex);
+        visit(callLabels(key), *series);
+    }
+}
+
+void Metrics::Detail::appendSummary(
+    std::string& text, std::string_view name, Balsammill::Detail::QuantileEstimator CallSeries::*member) const
+{
+    text.append("# TYPE ").append(name).append(" summary\n");
+    forEachSeries([&](const std::string& labels, const CallSeries& series) {
+        const auto& estimator = series.*member;
+        if (estimator.count() == 0)
+            return;
+        for (const double probability : exportedQuantiles) {
+            appendSample(text, name, labels + ",quantile=\"" + formatNumber(probability) + "\"",
+                formatNumber(estimator.quantile(probability)));
+        }
+        appendSample(text, std::string(name) + "_sum", labels, formatNumber(estimator.sum()));
+        appendSample(text, std::string(name) + "_count", labels, std::to_string(estimator.count()));
+    });
+}
+
+void Metrics::Detail::appendOutcomes(std::string& text) const
+{
+    constexpr std::string_view name = "balsammill_calls_total";
+    text.append("# TYPE ").append(name).append(" counter\n");
+    forEachSeries([&](const std::string& labels, const CallSeries& series) {
+        for (const auto verdict : verdicts) {
+            for (const bool succeeded : { false, true }) {
+                const auto count = series.outcomes.at(static_cast<std::size_t>(verdict)).at(succeeded ? 1 : 0);
+                if (count == 0)
+                    continue;
+                const auto outcome = std::string(",verdict=\"") + std::string(nameOf(verdict)) + "\",succeeded=\""
+                    + (succeeded ? "true" : "false") + "\"";
+                appendSample(text, name, labels + outcome, std::to_string(count));
+            }
+        }
+    });
+}
+
+Metrics::Metrics()
+    : detail_(std::make_unique<Detail>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::recordCall(const CallSample& sample)
+{
+    auto& series = detail_->seriesOf(sample);
+    std::lock_guard lock(series.mutex);
+    ++series.outcomes.at(static_cast<std::size_t>(sample.verdict)).at(sample.succeeded ? 1 : 0);
+    series.response.add(seconds(sample.response));
+    series.queued.add(seconds(sample.queued));
+    // The time on the upstream is the ideal response time; a call that did not finish there has none.
+    if (sample.succeeded && sample.run > Duration::zero())
+        series.slowdown.add(seconds(sample.response) / seconds(sample.run));
+}
+
+void Metrics::add(std::string_view name, std::string_view labels, std::uint64_t amount)
+{
+    detail_->counters.change(name, labels, [amount](auto& value) { value.fetch_add(amount); });
+}
+
+void Metrics::set(std::string_view name, std::string_view labels, double newValue)
+{
+    detail_->gauges.change(name, labels, [newValue](auto& value) { value.store(newValue); });
+}
+
+std::string Metrics::exposition() const
+{
+    std::string text;
+    detail_->appendOutcomes(text);
+    detail_->appendSummary(text, "balsammill_response_seconds", &CallSeries::response);
+    detail_->appendSummary(text, "balsammill_queue_seconds", &CallSeries::queued);
+    detail_->appendSummary(text, "balsammill_slowdown", &CallSeries::slowdown);
+    detail_->counters.append(text, "counter", [](std::uint64_t value) { return std::to_string(value); });
+    detail_->gauges.append(text, "gauge", [](double value) { return formatNumber(value); });
+    return text;
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/observe/tests/MetricsTests.cpp
@@ -0,0 +1,98 @@
+#include "balsammill/observe/Metrics.h"
+
+#include "QuantileEstimator.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <thread>
+#include <vector>
+
+using namespace Balsammill;
+
+namespace {
+
+CallSample sampleOf(const std::string& team)
+{
+    return { MethodName("tanim/BulaklakCheck"), TeamName(team), std::chrono::milliseconds(100),
+        std::chrono::milliseconds(20), std::chrono::milliseconds(50), Verdict::Ran, true };
+}
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+} // namespace
+
+// Guards against an estimator that is useless for the tail or wrong for the first few samples.
+TEST_CASE("Quantiles agree with those of the sorted samples")
+{
+    for (const std::size_t count : { 5, 64, 65, 20'000 }) {
+        Detail::QuantileEstimator estimator;
+        std::mt19937 random(7);
+        std::lognormal_distribution<double> distribution(0, 1);
+        std::vector<double> samples;
+        for (std::size_t i = 0; i < count; ++i) {
+            samples.push_back(distribution(random));
+            estimator.add(samples.back());
+        }
+        std::sort(samples.begin(), samples.end());
+        // The 99th percentile of few samples is one of the extreme samples and has no useful tolerance.
+        for (const double probability : count < 1000 ? std::vector { 0.5 } : std::vector { 0.5, 0.9, 0.99 }) {
+            const auto exact = samples.at(static_cast<std::size_t>(probability * static_cast<double>(count)));
+            CAPTURE(count);
+            CAPTURE(probability);
+            CHECK(estimator.quantile(probability) == doctest::Approx(exact).epsilon(count < 1000 ? 0.15 : 0.05));
+        }
+    }
+}
+
+// Guards against a text that a scraper rejects because of a team name chosen by a caller.
+TEST_CASE("The exposition has one type line per metric and escaped labels")
+{
+    Metrics metrics;
+    metrics.recordCall(sampleOf("a\"b\\c\nd"));
+    metrics.add("balsammill_retries_total", "cause=\"refused\"", 2);
+    metrics.add("balsammill_retries_total", "cause=\"refused\"", 3);
+    metrics.set("balsammill_free_slots", "", 12.5);
+    const auto text = metrics.exposition();
+    CHECK(contains(text,
+        R"(balsammill_calls_total{method="tanim/BulaklakCheck",team="a\"b\\c\nd",verdict="ran",succeeded="true"} 1)"));
+    CHECK(contains(text, R"(quantile="0.99"} 0.1)"));
+    CHECK(contains(text, "# TYPE balsammill_retries_total counter\nbalsammill_retries_total{cause=\"refused\"} 5\n"));
+    CHECK(contains(text, "# TYPE balsammill_free_slots gauge\nbalsammill_free_slots 12.5\n"));
+    CHECK(contains(text, R"(balsammill_slowdown{method="tanim/BulaklakCheck",team="a\"b\\c\nd",quantile="0.5"} 2)"));
+    CHECK_THROWS_AS(metrics.add("bad name", "", 1), std::invalid_argument);
+}
+
+// Guards against callers that exhaust the memory by inventing team names.
+TEST_CASE("Calls of very many teams share one series past the limit")
+{
+    Metrics metrics;
+    for (int i = 0; i < 3000; ++i)
+        metrics.recordCall(sampleOf("team-" + std::to_string(i)));
+    const auto text = metrics.exposition();
+    CHECK(contains(text, R"(balsammill_response_seconds_count{method="other",team="other"} 1976)"));
+    CHECK_FALSE(contains(text, "team-2999"));
+}
+
+// Guards against lost updates and races between the request path and a scraper.
+TEST_CASE("Counts are exact under concurrent use")
+{
+    Metrics metrics;
+    std::vector<std::thread> threads;
+    for (int t = 0; t < 4; ++t) {
+        threads.emplace_back([&metrics] {
+            for (int i = 0; i < 2000; ++i) {
+                metrics.recordCall(sampleOf("team"));
+                metrics.add("balsammill_events_total", "", 1);
+                if (i % 500 == 0)
+                    (void)metrics.exposition();
+            }
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    const auto text = metrics.exposition();
+    CHECK(contains(text, R"(balsammill_response_seconds_count{method="tanim/BulaklakCheck",team="team"} 8000)"));
+    CHECK(contains(text, "balsammill_events_total 8000\n"));
+}
