--- /dev/null
+++ b/libs/jobs/src/ShardRole.cpp
@@ -0,0 +1,166 @@
+#include "balsammill/jobs/ShardRole.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Balsammill {
+
+std::string_view nameOf(ShardRoleKind kind)
+{
+    switch (kind) {
+    case ShardRoleKind::NotHolder:
+        return "not-holder";
+    case ShardRoleKind::Primary:
+        return "primary";
+    case ShardRoleKind::PrimaryUnconfirmed:
+        return "primary-unconfirmed";
+    case ShardRoleKind::Backup:
+        return "backup";
+    case ShardRoleKind::Promoting:
+        return "promoting";
+    case ShardRoleKind::HandingOver:
+        return "handing-over";
+    }
+    return "not-holder";
+}
+
+ShardRole::ShardRole(ShardRoleOptions options)
+    : options_(std::move(options))
+{
+}
+
+void ShardRole::adopt(const ShardRecord& record, const std::optional<std::string>& tag, LedgerTime)
+{
+    if (record.epoch < epoch())
+        return;
+    if (record.epoch > epoch()) {
+        promoting_ = false;
+        handoverRequested_ = false;
+        alone_ = false;
+        candidate_.reset();
+        candidateComplete_ = false;
+        vacantSince_.reset();
+        tag_.reset();
+    }
+    record_ = record;
+    missing_ = false;
+    if (tag)
+        tag_ = tag;
+    // The conditional write can no longer take effect once the record has moved on.
+    if (unresolvedWrite_ && record.epoch >= unresolvedWrite_->epoch)
+        unresolvedWrite_.reset();
+    if (staged_ && staged_->first <= record.epoch && *staged_ != std::pair(record.epoch, record.primary))
+        staged_.reset();
+}
+
+void ShardRole::recordRead(const RecordRead& result, LedgerTime time)
+{
+    readPending_ = false;
+    if (const auto* found = std::get_if<RecordFound>(&result); found && found->record.epoch >= epoch()) {
+        adopt(found->record, found->tag, time);
+        confirmedAt_ = time.now;
+        readNeeded_ = false;
+        stale_ = false;
+        return;
+    }
+    if (std::holds_alternative<RecordMissing>(result) && !record_) {
+        missing_ = true;
+        readNeeded_ = false;
+        confirmedAt_ = time.now;
+        return;
+    }
+    nextTableRequestAt_ = time.now + options_.retryDelay;
+}
+
+void ShardRole::recordWritten(const RecordWrite& result, LedgerTime time)
+{
+    if (!pendingWrite_)
+        return;
+    const auto write = *std::exchange(pendingWrite_, std::nullopt);
+    if (const auto* written = std::get_if<RecordWritten>(&result)) {
+        adopt(write, written->tag, time);
+        confirmedAt_ = time.now;
+        stale_ = false;
+    } else if (std::holds_alternative<RecordConflict>(result)) {
+        // Another process raised the epoch.
+        heardEpoch_ = std::max(heardEpoch_, write.epoch);
+        readNeeded_ = true;
+    } else if (std::holds_alternative<RecordInDoubt>(result)) {
+        if (write.epoch > epoch())
+            unresolvedWrite_ = write;
+        readNeeded_ = true;
+    } else {
+        nextTableRequestAt_ = time.now + options_.retryDelay;
+    }
+}
+
+void ShardRole::heardEpoch(Epoch epoch)
+{
+    heardEpoch_ = std::max(heardEpoch_, epoch);
+    if (!record_ || heardEpoch_ > record_->epoch)
+        readNeeded_ = true;
+}
+
+void ShardRole::setCandidateComplete(bool complete) { candidateComplete_ = complete; }
+
+void ShardRole::handoverRequested(const ProcessId& from, Epoch epoch)
+{
+    if (record_ && record_->epoch == epoch && record_->primary == from && record_->backup == options_.self)
+        handoverRequested_ = true;
+}
+
+bool ShardRole::stageSnapshot(const ProcessId& primary, Epoch target)
+{
+    const std::pair offered(target, primary);
+    if (target <= epoch())
+        return target == epoch() && record_->primary == primary && record_->backup == options_.self;
+    if (!staged_ || staged_->first <= target)
+        staged_ = offered;
+    return staged_ == offered;
+}
+
+bool ShardRole::acceptsReplication(const ProcessId& primary, Epoch replicated, LedgerTime time)
+{
+    if (writeUnsettled() || promoting_)
+        return false;
+    if (replicated == epoch())
+        return record_ && record_->primary == primary && record_->backup == options_.self;
+    if (replicated < epoch())
+        return false;
+    readNeeded_ = true;
+    if (staged_ != std::pair(replicated, primary))
+        return false;
+    // The primary replicates in an epoch only after its write succeeded, and it writes only after this process
+    // acknowledged the snapshot.
+    adopt(ShardRecord { replicated, primary, options_.self, record_ ? record_->historyUnknownUntilMs : 0 },
+        std::nullopt, time);
+    return true;
+}
+
+void ShardRole::markStale(TimePoint now)
+{
+    stale_ = true;
+    readNeeded_ = true;
+    // Heartbeats that queued up during the pause have to be read first.
+    judgeFrom_ = std::max(judgeFrom_.value_or(now), now + options_.startupGrace);
+}
+
+bool ShardRole::mayStartAcknowledged() const
+{
+    return isPrimary() && record_->backup && !writeUnsettled() && !superseded();
+}
+
+bool ShardRole::mayStartAlone() const
+{
+    return isPrimary() && !record_->backup && !writeUnsettled() && !superseded() && alone_ && aloneAllowed_;
+}
+
+bool ShardRole::historyUnknown(LedgerTime time) const
+{
+    if (!record_ || record_->historyUnknownUntilMs == 0)
+        return false;
+    const auto margin = std::chrono::duration_cast<std::chrono::milliseconds>(options_.clockMargin).count();
+    return time.wallClockMs < record_->historyUnknownUntilMs + margin;
+}
+
+} // namespace Balsammill
