--- /dev/null
+++ b/standin/Lifetime.cpp
@@ -0,0 +1,84 @@
+#include "Lifetime.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <iostream>
+#include <poll.h>
+#include <sstream>
+#include <sys/signalfd.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace Balsammill::Standin {
+
+namespace {
+
+/// Consumes what is readable; true at the end of the input.
+bool reachedEnd(int descriptor)
+{
+    std::array<char, 4096> buffer {};
+    const auto count = ::read(descriptor, buffer.data(), buffer.size());
+    return count == 0 || (count < 0 && errno != EINTR && errno != EAGAIN);
+}
+
+} // namespace
+
+Lifetime::Lifetime(bool exitWithStdin)
+    : exitWithStdin_(exitWithStdin)
+{
+    sigset_t ends;
+    sigemptyset(&ends);
+    sigaddset(&ends, SIGTERM);
+    sigaddset(&ends, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+    // A peer that closes early must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    signals_ = ::signalfd(-1, &ends, SFD_CLOEXEC);
+    if (signals_ < 0)
+        throw std::system_error(errno, std::generic_category(), "signalfd");
+}
+
+Lifetime::~Lifetime() { ::close(signals_); }
+
+void Lifetime::waitForEnd() const { waitForEndUntil(TimePoint::max()); }
+
+bool Lifetime::waitForEndUntil(TimePoint deadline) const
+{
+    std::array<pollfd, 2> waits { { { signals_, POLLIN, 0 }, { exitWithStdin_ ? STDIN_FILENO : -1, POLLIN, 0 } } };
+    for (auto now = monotonicNow(); now < deadline; now = monotonicNow()) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count() + 1;
+        if (::poll(waits.data(), waits.size(), static_cast<int>(std::min<std::int64_t>(left, 60'000))) <= 0)
+            continue;
+        if (waits[0].revents != 0 || (waits[1].revents != 0 && reachedEnd(STDIN_FILENO)))
+            return true;
+    }
+    return false;
+}
+
+void printReady(std::uint16_t port, const std::string& portsJson)
+{
+    std::cout << R"({"ready":true,"port":)" << port;
+    if (!portsJson.empty())
+        std::cout << R"(,"ports":)" << portsJson;
+    std::cout << "}" << std::endl;
+}
+
+std::string toJson(const std::vector<std::uint16_t>& ports)
+{
+    std::ostringstream text;
+    for (const auto port : ports)
+        text << (text.tellp() > 0 ? "," : "[") << port;
+    return text.str() + "]";
+}
+
+std::string toJson(const std::map<std::string, std::uint16_t>& ports)
+{
+    std::ostringstream text;
+    for (const auto& [name, port] : ports)
+        text << (text.tellp() > 0 ? "," : "{") << '"' << name << "\":" << port;
+    return text.str() + "}";
+}
+
+} // namespace Balsammill::Standin
