--- /dev/null
+++ b/libs/policy/src/Scheduler.cpp
@@ -0,0 +1,333 @@
+#include "balsammill/policy/Scheduler.h"
+
+#include "SchedulerDetail.h"
+
+#include <algorithm>
+
+namespace Balsammill {
+
+namespace {
+
+// A time-out after a shorter run comes from the deadline and says nothing against the upstream's health. Counting it
+// would eject healthy upstreams in an overload, when tasks start late.
+constexpr int slowRunFactor = 3;
+
+Detail::UpstreamSetOptions upstreamSetOptions(const SchedulerOptions& options)
+{
+    return { .choice = options.choice, .maxEjectedShare = options.maxEjectedShare, .randomSeed = options.randomSeed };
+}
+
+} // namespace
+
+Scheduler::Detail::Detail(SchedulerOptions given)
+    : options(std::move(given))
+    , queue(std::in_place_type<Balsammill::Detail::FairQueue>, estimates, options.teamWeights)
+    , upstreams(upstreamSetOptions(options))
+{
+    if (options.order == QueueOrder::FirstComeFirstServed)
+        queue.emplace<Balsammill::Detail::FifoQueue>(estimates);
+}
+
+void Scheduler::Detail::prepare(TaskRecord& task, const TaskSpec& spec, TimePoint now)
+{
+    task.spec = spec;
+    task.spec.slots.value = std::max(1U, spec.slots.value);
+    task.queuedAt = now;
+    task.sizeClass = Balsammill::Detail::sizeClassOf(spec.declaredRunTime);
+    task.runTimes = &estimates.of(spec.method);
+    std::visit([&](auto& order) { order.bind(task); }, queue);
+}
+
+void Scheduler::Detail::enqueue(TaskRecord& task, bool atFront)
+{
+    task.state = TaskState::Queued;
+    estimates.addQueued(*task.runTimes, task.sizeClass, task.spec.slots, task.spec.declaredRunTime);
+    std::visit([&](auto& order) { atFront ? order.pushFront(task) : order.push(task); }, queue);
+}
+
+void Scheduler::Detail::requeue(const TaskSpec& spec, TimePoint now)
+{
+    const auto [entry, added] = tasks.try_emplace(spec.id);
+    if (!added)
+        return;
+    auto& record = entry->second;
+    prepare(record, spec, now);
+    record.arrival = nextFrontArrival--;
+    enqueue(record, true);
+    deadlines.insert(record);
+    ++waitingTasks;
+}
+
+void Scheduler::Detail::expire(TaskRecord& task)
+{
+    task.state = TaskState::Expired;
+    expired.pushBack(task);
+}
+
+Scheduler::Detail::TaskRecord* Scheduler::Detail::popLive(TimePoint now)
+{
+    for (;;) {
+        auto* task = std::visit([&](auto& order) { return order.pop(now); }, queue);
+        if (!task)
+            return nullptr;
+        estimates.removeQueued(*task->runTimes, task->sizeClass, task->spec.slots);
+        if (task->spec.deadline > now)
+            return task;
+        settle(*task, 0);
+        deadlines.remove(*task);
+        expire(*task);
+    }
+}
+
+void Scheduler::Detail::settle(TaskRecord& task, std::int64_t usedSlotMicros)
+{
+    std::visit([&](auto& order) { order.settle(task, usedSlotMicros, std::max(1U, upstreams.usableSlots())); }, queue);
+}
+
+void Scheduler::Detail::returnToQueue(TaskRecord& task)
+{
+    settle(task, 0);
+    // The task stays before every task that arrived later.
+    task.arrival = nextFrontArrival--;
+    enqueue(task, true);
+}
+
+bool Scheduler::Detail::holdForLater(TaskRecord& task)
+{
+    if (task.spec.slots.value > upstreams.maxSlots()) {
+        settle(task, 0);
+        task.state = TaskState::Parked;
+        parked.pushBack(task);
+        return true;
+    }
+    if (upstreams.onlyAvoidedIsFree(task.spec.slots, task.spec.avoidUpstream)) {
+        task.state = TaskState::Avoiding;
+        avoiding.pushBack(task);
+        return true;
+    }
+    if (upstreams.reserve(task)) {
+        task.state = TaskState::Reserved;
+        return true;
+    }
+    returnToQueue(task);
+    return false;
+}
+
+Assignment Scheduler::Detail::start(TaskRecord& task, Balsammill::Detail::Upstream& upstream, TimePoint now)
+{
+    deadlines.remove(task);
+    task.state = TaskState::Running;
+    task.startedAt = now;
+    task.upstream = &upstream;
+    task.upstreamGeneration = upstream.generation;
+    task.expectedSlotMicros = task.runTimes->expected(task.sizeClass).count() * task.spec.slots.value;
+    upstreams.start(upstream, task.spec.slots);
+    --waitingTasks;
+    ++runningTasks;
+    runningSlotMicros += task.expectedSlotMicros;
+    return { task.spec.id, upstream.spec.vm };
+}
+
+std::optional<Assignment> Scheduler::Detail::startHeld(
+    TaskRecord& task, Balsammill::Detail::Upstream& upstream, TimePoint now)
+{
+    if (task.spec.deadline > now)
+        return start(task, upstream, now);
+    settle(task, 0);
+    deadlines.remove(task);
+    expire(task);
+    return std::nullopt;
+}
+
+std::optional<Assignment> Scheduler::Detail::nextHeld(TimePoint now)
+{
+    while (auto* task = upstreams.takeReadyReservation()) {
+        if (auto assignment = startHeld(*task, *task->upstream, now))
+            return assignment;
+    }
+    while (auto* task = avoiding.front()) {
+        auto* upstream = upstreams.chooseElsewhere(task->spec.slots, task->spec.avoidUpstream);
+        if (!upstream)
+            break;
+        avoiding.remove(*task);
+        if (auto assignment = startHeld(*task, *upstream, now))
+            return assignment;
+    }
+    return std::nullopt;
+}
+
+std::optional<Assignment> Scheduler::Detail::nextAssignment(TimePoint now)
+{
+    upstreams.advance(now);
+    if (auto assignment = nextHeld(now))
+        return assignment;
+    while (upstreams.hasFreeSlots()) {
+        auto* task = popLive(now);
+        if (!task)
+            return std::nullopt;
+        if (auto* upstream = upstreams.chooseElsewhere(task->spec.slots, task->spec.avoidUpstream))
+            return start(*task, *upstream, now);
+        if (!holdForLater(*task))
+            return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::optional<TaskId> Scheduler::Detail::takeForForwarding(TimePoint now)
+{
+    auto* task = popLive(now);
+    if (!task)
+        return std::nullopt;
+    const auto id = task->spec.id;
+    settle(*task, 0);
+    deadlines.remove(*task);
+    --waitingTasks;
+    eraseRecord(*task);
+    return id;
+}
+
+void Scheduler::Detail::detach(TaskRecord& task)
+{
+    switch (task.state) {
+    case TaskState::Queued:
+        estimates.removeQueued(*task.runTimes, task.sizeClass, task.spec.slots);
+        std::visit([&](auto& order) { order.remove(task); }, queue);
+        break;
+    case TaskState::Reserved:
+        upstreams.cancelReservation(task);
+        settle(task, 0);
+        break;
+    case TaskState::Avoiding:
+        avoiding.remove(task);
+        settle(task, 0);
+        break;
+    case TaskState::Parked:
+        parked.remove(task);
+        break;
+    case TaskState::Expired:
+        expired.remove(task);
+        break;
+    case TaskState::Running:
+        break;
+    }
+}
+
+void Scheduler::Detail::eraseRecord(const TaskRecord& task) { tasks.erase(TaskId(task.spec.id)); }
+
+std::vector<TaskId> Scheduler::Detail::takeExpired(TimePoint now)
+{
+    for (auto* task : deadlines.advance(now)) {
+        detach(*task);
+        expire(*task);
+    }
+    std::vector<TaskId> result;
+    result.reserve(expired.size());
+    while (auto* task = expired.front()) {
+        expired.remove(*task);
+        result.push_back(task->spec.id);
+        --waitingTasks;
+        eraseRecord(*task);
+    }
+    return result;
+}
+
+bool Scheduler::Detail::cancel(TaskId id)
+{
+    const auto found = tasks.find(id);
+    if (found == tasks.end() || found->second.state == TaskState::Running)
+        return false;
+    auto& task = found->second;
+    if (task.state != TaskState::Expired)
+        deadlines.remove(task);
+    detach(task);
+    --waitingTasks;
+    eraseRecord(task);
+    return true;
+}
+
+void Scheduler::Detail::finished(TaskId id, TaskOutcome outcome, TimePoint now)
+{
+    const auto found = tasks.find(id);
+    if (found == tasks.end() || found->second.state != TaskState::Running)
+        return;
+    auto& task = found->second;
+    const auto run = std::max(now - task.startedAt, Duration::zero());
+    const auto expected = task.runTimes->expected(task.sizeClass);
+    runningSlotMicros -= task.expectedSlotMicros;
+    --runningTasks;
+    if (outcome == TaskOutcome::TimedOut && run < slowRunFactor * expected)
+        outcome = TaskOutcome::Cancelled;
+    upstreams.finish(*task.upstream, task.spec.slots, task.upstreamGeneration, outcome, now);
+    const bool ended = outcome == TaskOutcome::Succeeded || outcome == TaskOutcome::ApplicationError;
+    // A task that was cut off would have run for longer, so its time is a lower bound.
+    const bool cutOff = outcome == TaskOutcome::TimedOut || outcome == TaskOutcome::Cancelled;
+    if (ended || (cutOff && run > expected))
+        estimates.observe(*task.runTimes, task.sizeClass, run);
+    settle(task, run.count() * task.spec.slots.value);
+    tasks.erase(found);
+}
+
+void Scheduler::Detail::setUpstreams(const std::vector<UpstreamSpec>& specs, TimePoint now)
+{
+    for (auto* task : upstreams.replace(specs, now)) {
+        task->upstream = nullptr;
+        returnToQueue(*task);
+    }
+    while (auto* task = parked.front()) {
+        parked.remove(*task);
+        task->arrival = nextFrontArrival--;
+        enqueue(*task, true);
+    }
+}
+
+SchedulerLoad Scheduler::Detail::load() const
+{
+    return {
+        .queuedTasks = static_cast<std::uint32_t>(waitingTasks),
+        .runningTasks = static_cast<std::uint32_t>(runningTasks),
+        .freeSlots = upstreams.freeSlots(),
+        .totalSlots = upstreams.usableSlots(),
+        .expectedWait = waitFor(estimates.queuedSlotMicros()),
+    };
+}
+
+std::optional<TimePoint> Scheduler::Detail::nextWakeUp() const
+{
+    if (!expired.empty())
+        return TimePoint {};
+    auto next = deadlines.nextDue();
+    const auto event = upstreams.nextEvent();
+    // The end of an ejection only matters to a task that waits for it.
+    if (event && waitingTasks > 0 && (!next || *event < *next))
+        next = event;
+    return next;
+}
+
+Scheduler::Scheduler(SchedulerOptions options)
+    : detail_(std::make_unique<Detail>(std::move(options)))
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::setTeamWeights(std::map<TeamName, std::uint32_t> weights)
+{
+    std::visit([&](auto& order) { order.setTeamWeights(weights); }, detail_->queue);
+}
+
+void Scheduler::setUpstreams(const std::vector<UpstreamSpec>& specs, TimePoint now)
+{
+    detail_->setUpstreams(specs, now);
+}
+Admission Scheduler::submit(const TaskSpec& spec, TimePoint now) { return detail_->submit(spec, now); }
+void Scheduler::requeue(const TaskSpec& spec, TimePoint now) { detail_->requeue(spec, now); }
+std::optional<Assignment> Scheduler::nextAssignment(TimePoint now) { return detail_->nextAssignment(now); }
+std::optional<TaskId> Scheduler::takeForForwarding(TimePoint now) { return detail_->takeForForwarding(now); }
+std::vector<TaskId> Scheduler::takeExpired(TimePoint now) { return detail_->takeExpired(now); }
+bool Scheduler::cancel(TaskId id) { return detail_->cancel(id); }
+void Scheduler::finished(TaskId id, TaskOutcome outcome, TimePoint now) { detail_->finished(id, outcome, now); }
+SchedulerLoad Scheduler::load(TimePoint) const { return detail_->load(); }
+std::vector<UpstreamStatus> Scheduler::upstreams(TimePoint) const { return detail_->upstreams.status(); }
+std::optional<TimePoint> Scheduler::nextWakeUp() const { return detail_->nextWakeUp(); }
+
+} // namespace Balsammill
