--- a/libs/rpc/include/balsammill/rpc/ConnectClient.h
+++ b/libs/rpc/include/balsammill/rpc/ConnectClient.h
@@ -11,6 +11,8 @@
     std::string body {};
     TeamName team {};
     std::string bearerToken {};
+    /// Sent as Balsammill-Task-Id; names the call in time line and start logs.
+    std::string taskId {};
     TimePoint deadline;
 };
 
--- a/libs/rpc/src/ConnectClient.cpp
+++ b/libs/rpc/src/ConnectClient.cpp
@@ -41,6 +41,7 @@
     auto lines = Detail::formatHeaderLine("Balsammill-Team", call.team.value);
     if (!call.bearerToken.empty())
         lines += Detail::formatHeaderLine("Authorization", "Bearer " + call.bearerToken);
+    lines += Detail::formatHeaderLine("Balsammill-Task-Id", call.taskId);
     lines += "Connection: close\r\n";
     const auto head = Detail::formatCallHead({ .address = call.address,
         .method = call.method,
--- a/libs/rpc/src/HttpStream.cpp
+++ b/libs/rpc/src/HttpStream.cpp
@@ -1,5 +1,7 @@
 #include "HttpStream.h"
 
+#include <Poco/Exception.h>
+
 #include <algorithm>
 #include <array>
 #include <cerrno>
@@ -25,22 +27,10 @@
     throw StreamFault(StreamFaultKind::Closed, std::string(action) + ": " + std::generic_category().message(errno));
 }
 
-/// Offset just behind the empty line that ends a header, or npos.
-std::size_t headerEnd(std::string_view text, std::size_t from)
-{
-    for (auto at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
-        if (at + 1 < text.size() && text[at + 1] == '\n')
-            return at + 2;
-        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n')
-            return at + 3;
-    }
-    return std::string_view::npos;
-}
-
 } // namespace
 
 HttpStream::HttpStream(const Poco::Net::StreamSocket& socket)
-    : socket_(socket)
+    : Poco::Net::HTTPSession(socket)
 {
 }
 
@@ -48,7 +38,7 @@
 {
     for (;;) {
         const auto remaining = deadline - monotonicNow();
-        pollfd entry { .fd = socket_.impl()->sockfd(), .events = events, .revents = 0 };
+        pollfd entry { .fd = descriptor(), .events = events, .revents = 0 };
         const auto wait = std::max(Duration::zero(), remaining);
         const timespec limit { .tv_sec = std::chrono::duration_cast<std::chrono::seconds>(wait).count(),
             .tv_nsec = std::chrono::nanoseconds(wait % std::chrono::seconds(1)).count() };
@@ -62,92 +52,80 @@
     }
 }
 
+void HttpStream::awaitInput(TimePoint deadline)
+{
+    if (buffered() == 0 && !pollFor(POLLIN, deadline))
+        throw StreamFault(StreamFaultKind::TimedOut, "timed out while receiving");
+}
+
 bool HttpStream::waitForData(TimePoint deadline)
 {
-    if (!buffered().empty())
-        return true;
     try {
-        fill(deadline);
-        return true;
+        awaitInput(deadline);
+        return peek() != std::char_traits<char>::eof();
     } catch (const StreamFault&) {
         return false;
+    } catch (const Poco::Exception&) {
+        return false;
     }
 }
 
-std::size_t HttpStream::receiveInto(char* target, std::size_t size, TimePoint deadline)
-{
-    for (;;) {
-        if (!pollFor(POLLIN, deadline))
-            throw StreamFault(StreamFaultKind::TimedOut, "timed out while receiving");
-        const auto count = ::recv(socket_.impl()->sockfd(), target, size, MSG_DONTWAIT);
-        if (count > 0)
-            return static_cast<std::size_t>(count);
-        if (count == 0)
-            throw StreamFault(StreamFaultKind::Closed, "the peer closed the connection");
-        if (errno != EINTR && errno != EAGAIN)
-            failClosed("receive");
-    }
-}
-
-void HttpStream::fill(TimePoint deadline)
+char HttpStream::nextByte(TimePoint deadline)
 {
-    if (begin_ > 0) {
-        buffer_.erase(0, begin_);
-        begin_ = 0;
-    }
-    const auto size = buffer_.size();
-    buffer_.resize(size + receiveSize);
+    awaitInput(deadline);
     try {
-        buffer_.resize(size + receiveInto(buffer_.data() + size, receiveSize, deadline));
-    } catch (...) {
-        buffer_.resize(size);
-        throw;
+        const int byte = get();
+        if (byte != std::char_traits<char>::eof())
+            return static_cast<char>(byte);
+    } catch (const Poco::Exception& error) {
+        throw StreamFault(StreamFaultKind::Closed, "receive: " + error.displayText());
     }
+    throw StreamFault(StreamFaultKind::Closed, "the peer closed the connection");
 }
 
-void HttpStream::consume(std::size_t count)
+std::size_t HttpStream::readSome(char* target, std::size_t size, TimePoint deadline)
 {
-    begin_ += count;
-    if (begin_ == buffer_.size()) {
-        buffer_.clear();
-        begin_ = 0;
+    awaitInput(deadline);
+    try {
+        const int count = read(target, static_cast<std::streamsize>(size));
+        if (count > 0)
+            return static_cast<std::size_t>(count);
+    } catch (const Poco::Exception& error) {
+        throw StreamFault(StreamFaultKind::Closed, "receive: " + error.displayText());
     }
+    throw StreamFault(StreamFaultKind::Closed, "the peer closed the connection");
 }
 
 std::string HttpStream::readHeader(std::size_t maxBytes, TimePoint deadline)
 {
-    std::size_t searched = 0;
+    std::string header;
+    bool emptyLine = true;
     for (;;) {
-        if (searched == 0) {
-            const auto start = buffered().find_first_not_of("\r\n");
-            consume(start == std::string_view::npos ? buffered().size() : start);
-        }
-        const auto text = buffered();
-        const auto end = headerEnd(text, searched > 2 ? searched - 2 : 0);
-        if (std::min(end, text.size()) > maxBytes)
+        const char byte = nextByte(deadline);
+        if (header.empty() && (byte == '\r' || byte == '\n'))
+            continue;
+        if (header.size() >= maxBytes)
             throw StreamFault(
                 StreamFaultKind::TooLarge, "the header is larger than " + std::to_string(maxBytes) + " bytes");
-        if (end != std::string_view::npos) {
-            std::string header(text.substr(0, end));
-            consume(end);
-            return header;
+        header += byte;
+        if (byte == '\n') {
+            if (emptyLine)
+                return header;
+            emptyLine = true;
+        } else if (byte != '\r') {
+            emptyLine = false;
         }
-        searched = text.size();
-        fill(deadline);
     }
 }
 
 void HttpStream::appendExactly(std::size_t length, TimePoint deadline, std::string& body)
 {
-    const auto fromBuffer = std::min(length, buffered().size());
-    body.append(buffered().substr(0, fromBuffer));
-    consume(fromBuffer);
-    auto missing = length - fromBuffer;
+    auto missing = length;
     while (missing > 0) {
         const auto size = body.size();
         const auto step = std::min(missing, bodyGrowth);
         body.resize(size + step);
-        const auto received = receiveInto(body.data() + size, step, deadline);
+        const auto received = readSome(body.data() + size, step, deadline);
         body.resize(size + received);
         missing -= received;
     }
@@ -161,18 +139,18 @@
 
 std::string HttpStream::readLine(TimePoint deadline)
 {
+    std::string line;
     for (;;) {
-        const auto text = buffered();
-        const auto end = text.find('\n');
-        if (std::min(end, text.size()) > maxChunkLine)
+        const char byte = nextByte(deadline);
+        if (byte == '\n')
+            break;
+        if (line.size() == maxChunkLine)
             throw StreamFault(StreamFaultKind::Malformed, "a line of the chunked body is too long");
-        if (end != std::string_view::npos) {
-            std::string line(text.substr(0, end > 0 && text[end - 1] == '\r' ? end - 1 : end));
-            consume(end + 1);
-            return line;
-        }
-        fill(deadline);
+        line += byte;
     }
+    if (line.ends_with('\r'))
+        line.pop_back();
+    return line;
 }
 
 void HttpStream::readChunkedBody(std::size_t maxBytes, TimePoint deadline, std::string& body)
@@ -211,7 +189,7 @@
         msghdr message {};
         message.msg_iov = parts.data();
         message.msg_iovlen = parts.size();
-        const auto count = ::sendmsg(socket_.impl()->sockfd(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+        const auto count = ::sendmsg(descriptor(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count >= 0) {
             written += static_cast<std::size_t>(count);
             continue;
@@ -229,16 +207,16 @@
 
 void HttpStream::finishSending(TimePoint deadline)
 {
-    ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+    ::shutdown(descriptor(), SHUT_WR);
     std::array<char, receiveSize> discarded {};
     try {
         for (;;)
-            receiveInto(discarded.data(), discarded.size(), deadline);
+            readSome(discarded.data(), discarded.size(), deadline);
     } catch (const StreamFault&) {
         return;
     }
 }
 
-void HttpStream::shutdownReceive() { ::shutdown(socket_.impl()->sockfd(), SHUT_RD); }
+void HttpStream::shutdownReceive() { ::shutdown(descriptor(), SHUT_RD); }
 
 } // namespace Balsammill::Detail
--- a/libs/rpc/src/HttpStream.h
+++ b/libs/rpc/src/HttpStream.h
@@ -2,6 +2,7 @@
 
 #include "balsammill/base/Units.h"
 
+#include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <stdexcept>
@@ -31,9 +32,12 @@
     StreamFaultKind kind_;
 };
 
-/// Buffered HTTP/1.1 reading and writing on one socket, every wait bounded by a deadline. Unlike POCO's sessions it
-/// bounds whole messages instead of single reads, and tells how many bytes of a request were written.
-class HttpStream {
+/// POCO's HTTP session with every wait bounded by a deadline, so that whole messages are bounded instead of single
+/// reads, and with a count of the bytes of a request that were written.
+///
+/// Chunked bodies are read here and not by POCO's HTTPChunkedInputStream, which reports a body that was cut off by the
+/// end of the connection as complete.
+class HttpStream : private Poco::Net::HTTPSession {
 public:
     explicit HttpStream(const Poco::Net::StreamSocket&);
 
@@ -52,7 +56,7 @@
     /// True if bytes or the end of the stream are waiting, which no idle connection should have.
     bool hasPendingInput();
     /// The part of hasPendingInput() that needs no system call.
-    bool hasBufferedInput() const { return !buffered().empty(); }
+    bool hasBufferedInput() const { return buffered() > 0; }
 
     /// Ends sending and discards what the peer still sends, so that it can read the last answer before a reset.
     /// The socket itself is closed by the destructor, so that shutdownReceive() never meets a closed descriptor.
@@ -62,18 +66,14 @@
     void shutdownReceive();
 
 private:
-    std::string_view buffered() const { return std::string_view(buffer_).substr(begin_); }
-    void consume(std::size_t count);
-    /// Receives more bytes into the buffer.
-    void fill(TimePoint deadline);
-    std::size_t receiveInto(char* target, std::size_t size, TimePoint deadline);
+    /// Throws StreamFault unless a byte can be read before the deadline.
+    void awaitInput(TimePoint deadline);
+    char nextByte(TimePoint deadline);
+    std::size_t readSome(char* target, std::size_t size, TimePoint deadline);
     std::string readLine(TimePoint deadline);
     void appendExactly(std::size_t length, TimePoint deadline, std::string& body);
     bool pollFor(short events, TimePoint deadline);
-
-    Poco::Net::StreamSocket socket_;
-    std::string buffer_;
-    std::size_t begin_ { 0 };
+    int descriptor() { return socket().impl()->sockfd(); }
 };
 
 } // namespace Balsammill::Detail
--- /dev/null
+++ b/scripts/fault-run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs entries in three failure domains under random faults and checks the promises: --seed S --seconds T.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-deps.sh
+cmake --preset release >/dev/null
+cmake --build --preset release --target fault_run >/dev/null
+exec build/release/tests/faultrun/fault_run "$@"
