Test bad inputs of HTTP, JSON, protobuf and schemas

Cause: callers, upstreams and operators can send anything; each bad input needs a clear error and the right verdict, and must not stop the server. They found faults, which are fixed: the byte 0xff in a header was taken for the end of the stream, because POCO's get() returns it as end of file; a TLS greeting waited for the receive time-out; JSON errors named no field for lists, objects and missing fields. A connection refused over the limit stays open until its answer can be read. HttpStream's write() is now writeMessage(), because it hid a virtual function of the session.

--- a/libs/rpc/src/ClientExchange.cpp
+++ b/libs/rpc/src/ClientExchange.cpp
@@ -132,7 +132,7 @@
     TimePoint deadline, std::size_t& written)
 {
     try {
-        stream.write(head, body, deadline, written);
+        stream.writeMessage(head, body, deadline, written);
     } catch (const StreamFault& fault) {
         // A peer that refuses a large request early answers before it closes.
         if (written == 0 || fault.kind() != StreamFaultKind::Closed)
--- a/libs/rpc/src/ConnectServer.cpp
+++ b/libs/rpc/src/ConnectServer.cpp
@@ -70,22 +70,22 @@
             .verdict = Verdict::NotRun,
             .close = true });
         try {
-            Detail::HttpStream stream(socket);
+            auto stream = std::make_unique<Detail::HttpStream>(socket);
             std::size_t written = 0;
-            stream.write(head, body, monotonicNow(), written);
+            stream->writeMessage(head, body, monotonicNow(), written);
             socket.shutdownSend();
+            // Closing at once would reset the connection and could destroy the answer before the peer reads it.
+            refused_.push_back(std::move(stream));
         } catch (const std::exception&) {
             return;
         }
-        // Closing at once would reset the connection and could destroy the answer before the peer reads it.
-        refused_.push_back(std::move(socket));
         if (refused_.size() > maxRefusedConnections)
             refused_.pop_front();
     }
 
     const Poco::Net::TCPServer& server_;
     std::size_t maximum_;
-    std::deque<Poco::Net::StreamSocket> refused_;
+    std::deque<std::unique_ptr<Detail::HttpStream>> refused_;
 };
 
 } // namespace
--- a/libs/rpc/src/HttpStream.cpp
+++ b/libs/rpc/src/HttpStream.cpp
@@ -27,6 +27,8 @@
     throw StreamFault(StreamFaultKind::Closed, std::string(action) + ": " + std::generic_category().message(errno));
 }
 
+bool isPrintable(char c) { return c > ' ' && c < '\x7f'; }
+
 } // namespace
 
 HttpStream::HttpStream(const Poco::Net::StreamSocket& socket)
@@ -62,7 +64,9 @@
 {
     try {
         awaitInput(deadline);
-        return peek() != std::char_traits<char>::eof();
+        if (buffered() == 0)
+            refill();
+        return buffered() > 0;
     } catch (const StreamFault&) {
         return false;
     } catch (const Poco::Exception&) {
@@ -74,9 +78,12 @@
 {
     awaitInput(deadline);
     try {
-        const int byte = get();
-        if (byte != std::char_traits<char>::eof())
-            return static_cast<char>(byte);
+        // Not get(), which returns the byte 0xff as the end of the stream.
+        if (buffered() == 0)
+            refill();
+        char byte = 0;
+        if (buffered() > 0 && read(&byte, 1) == 1)
+            return byte;
     } catch (const Poco::Exception& error) {
         throw StreamFault(StreamFaultKind::Closed, "receive: " + error.displayText());
     }
@@ -104,6 +111,9 @@
         const char byte = nextByte(deadline);
         if (header.empty() && (byte == '\r' || byte == '\n'))
             continue;
+        // Other protocols, such as TLS, may never send the line end that would show the mistake.
+        if (header.empty() && !isPrintable(byte))
+            throw StreamFault(StreamFaultKind::Malformed, "not an HTTP message: it starts with a control character");
         if (header.size() >= maxBytes)
             throw StreamFault(
                 StreamFaultKind::TooLarge, "the header is larger than " + std::to_string(maxBytes) + " bytes");
@@ -177,7 +187,7 @@
     }
 }
 
-void HttpStream::write(std::string_view head, std::string_view body, TimePoint deadline, std::size_t& written)
+void HttpStream::writeMessage(std::string_view head, std::string_view body, TimePoint deadline, std::size_t& written)
 {
     written = 0;
     const auto total = head.size() + body.size();
--- a/libs/rpc/src/HttpStream.h
+++ b/libs/rpc/src/HttpStream.h
@@ -51,7 +51,7 @@
     void readChunkedBody(std::size_t maxBytes, TimePoint deadline, std::string& body);
 
     /// Writes both parts; counts the bytes that the socket accepted into written, also when it throws.
-    void write(std::string_view head, std::string_view body, TimePoint deadline, std::size_t& written);
+    void writeMessage(std::string_view head, std::string_view body, TimePoint deadline, std::size_t& written);
 
     /// True if bytes or the end of the stream are waiting, which no idle connection should have.
     bool hasPendingInput();
--- a/libs/rpc/src/ServerConnection.cpp
+++ b/libs/rpc/src/ServerConnection.cpp
@@ -222,7 +222,7 @@
 void ServerConnection::send(std::string_view head, std::string_view body)
 {
     std::size_t written = 0;
-    stream_.write(head, body, monotonicNow() + state_.options.receiveTimeout, written);
+    stream_.writeMessage(head, body, monotonicNow() + state_.options.receiveTimeout, written);
 }
 
 } // namespace Balsammill::Detail
--- /dev/null
+++ b/libs/rpc/tests/UpstreamFaultTests.cpp
@@ -0,0 +1,251 @@
+#include "ScriptedUpstream.h"
+#include "ServerFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace Balsammill;
+
+namespace {
+
+using Poco::Net::StreamSocket;
+
+UpstreamRequest request(const NetworkAddress& address, Duration timeout = std::chrono::seconds(10))
+{
+    return { .address = address,
+        .method = MethodName("test.Echo/Say"),
+        .body = "payload#end",
+        .taskId = "task-1",
+        .deadline = monotonicNow() + timeout };
+}
+
+std::string answer(const std::string& body, const std::string& headers = {}, const std::string& status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/proto\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body;
+}
+
+struct BadAnswer {
+    const char* what;
+    std::string bytes;
+    ErrorCode code;
+    Verdict verdict;
+    bool answered;
+    std::string cause;
+};
+
+const auto notRunHeader = std::string("Balsammill-Verdict: not-run\r\n");
+const auto errorBody = std::string(R"({"code":"unavailable","message":"full"})");
+
+std::string jsonError(const std::string& headers, const std::string& body, const std::string& status)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n" + headers + "\r\n" + body;
+}
+
+std::vector<BadAnswer> badAnswers()
+{
+    const auto unknown = Verdict::MayHaveRun;
+    return {
+        { "no answer", "", ErrorCode::Unavailable, unknown, false, "closed" },
+        { "garbage", "\x01\x02\x03\r\n\r\n", ErrorCode::Internal, unknown, false, "not an HTTP" },
+        { "half a header", "HTTP/1.1 200 OK\r\nContent-", ErrorCode::Unavailable, unknown, false, "closed" },
+        { "half a body", answer("0123456789").substr(0, answer("0123456789").size() - 5), ErrorCode::Unavailable,
+            unknown, false, "closed" },
+        { "half a body after a verdict",
+            answer("0123456789", notRunHeader).substr(0, answer("0123456789", notRunHeader).size() - 5),
+            ErrorCode::Unavailable, unknown, false, "closed" },
+        { "half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", ErrorCode::Unavailable,
+            unknown, false, "closed" },
+        { "chunks without an end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            ErrorCode::Unavailable, unknown, false, "closed" },
+        { "no length", "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\nbody", ErrorCode::Internal, unknown,
+            false, "no length" },
+        { "two lengths", answer("ab", "Content-Length: 1\r\n"), ErrorCode::Internal, unknown, false, "twice" },
+        { "huge answer", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", ErrorCode::Internal, unknown, false,
+            "at most 1024" },
+        { "endless header", "HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'x'), ErrorCode::Internal, unknown, false,
+            "larger than 16384" },
+        { "other content type", "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nhi",
+            ErrorCode::Internal, unknown, true, "text/html" },
+        { "error without a verdict", jsonError("", errorBody, "503 Busy"), ErrorCode::Unavailable, unknown, true,
+            "full" },
+        { "error with a verdict", jsonError(notRunHeader, errorBody, "503 Busy"), ErrorCode::Unavailable,
+            Verdict::NotRun, true, "full" },
+        { "error with an unknown verdict", jsonError("Balsammill-Verdict: maybe\r\n", errorBody, "503 Busy"),
+            ErrorCode::Unavailable, unknown, true, "full" },
+        { "error that is no JSON", jsonError("", "<html>", "404 Not Found"), ErrorCode::Unimplemented, unknown, true,
+            "HTTP status 404" },
+        { "error with deep JSON", jsonError("", std::string(1000, '['), "500 Oops"), ErrorCode::Unknown, unknown, true,
+            "HTTP status 500" },
+    };
+}
+
+void answerAll(StreamSocket& socket, const std::string& bytes)
+{
+    std::string received;
+    while (ScriptedUpstream::readRequest(socket, received))
+        ScriptedUpstream::send(socket, bytes);
+}
+
+} // namespace
+
+// Guards against verdicts that allow a call to be run twice, and against partial answers that pass as whole ones.
+TEST_CASE("Each faulty answer of an upstream gives a clear error and the right verdict")
+{
+    for (const auto& bad : badAnswers()) {
+        CAPTURE(std::string(bad.what));
+        ScriptedUpstream upstream([&](StreamSocket& socket, int) {
+            std::string received;
+            if (ScriptedUpstream::readRequest(socket, received))
+                ScriptedUpstream::send(socket, bad.bytes);
+        });
+        UpstreamPool pool({ .maxAnswerBytes = 1024 });
+        const auto result = pool.exchange(request(upstream.address()));
+        const auto* failure = std::get_if<UpstreamFailure>(&result);
+        REQUIRE(failure != nullptr);
+        CAPTURE(failure->error.message);
+        CHECK(nameOf(failure->error.code) == nameOf(bad.code));
+        CHECK(nameOf(failure->error.verdict) == nameOf(bad.verdict));
+        CHECK(failure->answered == bad.answered);
+        CHECK(failure->error.message.find(bad.cause) != std::string::npos);
+        CHECK(upstream.accepted() == 1);
+    }
+}
+
+// Guards against a request that is reported as possibly run although no byte of it was sent.
+TEST_CASE("A request that was never sent is not-run")
+{
+    NetworkAddress closed;
+    {
+        const ScriptedUpstream upstream([](StreamSocket&, int) {});
+        closed = upstream.address();
+    }
+    UpstreamPool pool({});
+    auto breaksHeader = request(closed);
+    breaksHeader.taskId = "a\r\nInjected: b";
+    const UpstreamRequest requests[] { request(closed), request(closed, -std::chrono::seconds(1)),
+        request(NetworkAddress("localhost:80")), request(NetworkAddress("127.0.0.1:99999")), breaksHeader };
+    for (const auto& unsent : requests) {
+        const auto result = pool.exchange(unsent);
+        REQUIRE(std::holds_alternative<UpstreamFailure>(result));
+        CHECK(std::get<UpstreamFailure>(result).error.verdict == Verdict::NotRun);
+    }
+}
+
+// Guards against a call that fails, or is called possibly run, only because the upstream closed an idle connection.
+TEST_CASE("A pooled connection that the upstream closed is replaced before anything is sent")
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool closed = false;
+    ScriptedUpstream upstream([&](StreamSocket& socket, int number) {
+        std::string received;
+        if (number > 0)
+            return answerAll(socket, answer("ok"));
+        ScriptedUpstream::readRequest(socket, received);
+        ScriptedUpstream::send(socket, answer("ok"));
+        socket.close();
+        std::lock_guard lock(mutex);
+        closed = true;
+        changed.notify_all();
+    });
+    UpstreamPool pool({});
+    REQUIRE(std::holds_alternative<UpstreamAnswer>(pool.exchange(request(upstream.address()))));
+    {
+        std::unique_lock lock(mutex);
+        REQUIRE(changed.wait_for(lock, std::chrono::seconds(10), [&] { return closed; }));
+    }
+    CHECK(std::holds_alternative<UpstreamAnswer>(pool.exchange(request(upstream.address()))));
+    CHECK(upstream.accepted() == 2);
+    pool.forget(upstream.address());
+}
+
+// Guards against an answer that is given to the wrong request: one that arrives after its time-out, and one that an
+// upstream sends without a request.
+TEST_CASE("A late or surplus answer never reaches another request")
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool sent = false;
+    ScriptedUpstream upstream([&](StreamSocket& socket, int number) {
+        std::string received;
+        if (number == 0) {
+            ScriptedUpstream::readRequest(socket, received);
+            char byte = 0;
+            // Waits until the pool gave up and closed the connection, then answers late.
+            socket.receiveBytes(&byte, 1);
+            ScriptedUpstream::send(socket, answer("late"));
+        } else if (number == 1) {
+            ScriptedUpstream::readRequest(socket, received);
+            ScriptedUpstream::send(socket, answer("own") + answer("surplus"));
+            ScriptedUpstream::readRequest(socket, received);
+        } else if (number == 2) {
+            ScriptedUpstream::readRequest(socket, received);
+            ScriptedUpstream::send(socket, answer("own"));
+            std::unique_lock lock(mutex);
+            changed.wait_for(lock, std::chrono::seconds(10), [&] { return sent; });
+            ScriptedUpstream::send(socket, answer("unsolicited"));
+            sent = false;
+            changed.notify_all();
+            lock.unlock();
+            ScriptedUpstream::readRequest(socket, received);
+        } else {
+            answerAll(socket, answer("own"));
+        }
+    });
+    UpstreamPool pool({});
+    CHECK(std::holds_alternative<UpstreamFailure>(
+        pool.exchange(request(upstream.address(), std::chrono::milliseconds(50)))));
+    for (int i = 0; i < 4; ++i) {
+        const auto result = pool.exchange(request(upstream.address()));
+        REQUIRE(std::holds_alternative<UpstreamAnswer>(result));
+        CHECK(std::get<UpstreamAnswer>(result).body == "own");
+        if (upstream.accepted() == 3) {
+            std::unique_lock lock(mutex);
+            sent = true;
+            changed.notify_all();
+            CHECK(changed.wait_for(lock, std::chrono::seconds(10), [&] { return !sent; }));
+        }
+    }
+    CHECK(upstream.accepted() == 4);
+}
+
+// Guards against an unbounded number of connections to one upstream.
+TEST_CASE("An exchange over the connection limit is refused as not-run")
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool entered = false;
+    bool release = false;
+    ScriptedUpstream upstream([&](StreamSocket& socket, int) {
+        std::string received;
+        ScriptedUpstream::readRequest(socket, received);
+        {
+            std::unique_lock lock(mutex);
+            entered = true;
+            changed.notify_all();
+            changed.wait_for(lock, std::chrono::seconds(10), [&] { return release; });
+        }
+        ScriptedUpstream::send(socket, answer("ok"));
+    });
+    UpstreamPool pool({ .connectionsPerUpstream = 1 });
+    std::thread first(
+        [&] { CHECK(std::holds_alternative<UpstreamAnswer>(pool.exchange(request(upstream.address())))); });
+    {
+        std::unique_lock lock(mutex);
+        REQUIRE(changed.wait_for(lock, std::chrono::seconds(10), [&] { return entered; }));
+    }
+    const auto result = pool.exchange(request(upstream.address()));
+    {
+        std::lock_guard lock(mutex);
+        release = true;
+        changed.notify_all();
+    }
+    first.join();
+    REQUIRE(std::holds_alternative<UpstreamFailure>(result));
+    CHECK(std::get<UpstreamFailure>(result).error.code == ErrorCode::ResourceExhausted);
+    CHECK(std::get<UpstreamFailure>(result).error.verdict == Verdict::NotRun);
+}
--- a/libs/schema/src/JsonText.cpp
+++ b/libs/schema/src/JsonText.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::string_view unknownField = ": Cannot find field.";
+constexpr std::string_view missingField = "missing field ";
+constexpr std::string_view objectForScalar = "invalid value Starting an object on a scalar field for type ";
 
 /// Deepest nesting outside of strings.
 int jsonDepth(std::string_view json)
@@ -35,6 +37,28 @@
     return deepest;
 }
 
+bool isNameCharacter(char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_';
+}
+
+/// The last part of the field's path, which the converter puts into the text instead of the parentheses for some
+/// faults: "name: cause", "missing field name" and others.
+std::string_view fieldNameIn(std::string_view cause, bool startsWithName)
+{
+    for (const auto prefix : { missingField, objectForScalar }) {
+        if (cause.starts_with(prefix))
+            return cause.substr(prefix.size());
+    }
+    if (!startsWithName)
+        return {};
+    if (cause.ends_with(unknownField))
+        return cause.substr(0, cause.size() - unknownField.size());
+    const auto* end = std::find_if_not(cause.begin(), cause.end(), isNameCharacter);
+    const auto name = cause.substr(0, static_cast<std::size_t>(end - cause.begin()));
+    return cause.substr(name.size()).starts_with(": ") ? name : std::string_view();
+}
+
 } // namespace
 
 std::optional<std::string> checkJsonText(std::string_view json, int maxDepth)
@@ -50,24 +74,21 @@
     return std::nullopt;
 }
 
-std::string fieldOfJsonFault(std::string_view message)
+JsonFault parseJsonFault(std::string_view message)
 {
-    std::string path;
-    std::string_view rest = message;
-    if (rest.starts_with("(")) {
-        const auto end = rest.find(')');
-        if (end == std::string_view::npos)
-            return {};
-        path = rest.substr(1, end - 1);
-        rest.remove_prefix(end + 1);
-    }
-    if (const auto end = rest.find(unknownField); end != std::string_view::npos) {
-        auto name = rest.substr(0, end);
-        while (name.starts_with(" "))
-            name.remove_prefix(1);
-        path += (path.empty() ? "" : ".") + std::string(name);
+    JsonFault fault;
+    if (message.starts_with("(")) {
+        const auto end = message.find(')');
+        fault.field = message.substr(1, end == std::string_view::npos ? end : end - 1);
+        message.remove_prefix(end == std::string_view::npos ? message.size() : end + 1);
     }
-    return path;
+    const auto start = message.find_first_not_of(": ");
+    const bool startsWithName = start == 0 || !message.starts_with(':');
+    message.remove_prefix(start == std::string_view::npos ? message.size() : start);
+    fault.cause = message;
+    if (const auto name = fieldNameIn(message, startsWithName); !name.empty())
+        fault.field.append(fault.field.empty() ? "" : ".").append(name);
+    return fault;
 }
 
 } // namespace Balsammill::Detail
--- a/libs/schema/src/JsonText.h
+++ b/libs/schema/src/JsonText.h
@@ -10,7 +10,13 @@
 /// Returns the cause of the fault.
 std::optional<std::string> checkJsonText(std::string_view json, int maxDepth);
 
-/// Field path in a message of the JSON conversion, such as "(items[1].row): invalid value ..."; empty if it names none.
-std::string fieldOfJsonFault(std::string_view message);
+struct JsonFault {
+    /// Path such as "items[1].row"; empty if the fault has no field.
+    std::string field;
+    std::string cause;
+};
+
+/// Takes a message of the JSON conversion apart, such as "(items[1].row): invalid value ...".
+JsonFault parseJsonFault(std::string_view message);
 
 } // namespace Balsammill::Detail
--- a/libs/schema/src/Schema.cpp
+++ b/libs/schema/src/Schema.cpp
@@ -10,6 +10,7 @@
 
 #include <google/protobuf/compiler/importer.h>
 #include <google/protobuf/dynamic_message.h>
+#include <google/protobuf/stubs/logging.h>
 #include <google/protobuf/util/json_util.h>
 
 #include <map>
@@ -147,6 +148,8 @@
 
 std::shared_ptr<const Schema> Schema::compile(const std::vector<SchemaSource>& sources)
 {
+    // The compiler would print warnings to standard error; its errors are collected.
+    const google::protobuf::LogSilencer silencer;
     auto detail = std::make_unique<Detail>(sources);
     detail->importAll(sources);
     return std::shared_ptr<const Schema>(new Schema(std::move(detail)));
@@ -177,8 +180,8 @@
         = google::protobuf::util::JsonToBinaryString(&detail_->jsonTypes, Balsammill::Detail::JsonTypes::urlOf(type),
             { json.data(), json.size() }, &binary, google::protobuf::util::JsonParseOptions());
     if (!status.ok()) {
-        const std::string cause(status.message().data(), status.message().size());
-        refuse(type, Balsammill::Detail::fieldOfJsonFault(cause), cause);
+        const auto fault = Balsammill::Detail::parseJsonFault({ status.message().data(), status.message().size() });
+        refuse(type, fault.field, fault.cause);
     }
     checkRequest(method, binary);
     return binary;
