Shrink task records and add the scheduler benchmark

Change: records keep no names of team and method; the benchmark varies upstreams, methods, teams and queue length for both queue orders.

--- /dev/null
+++ b/bench/SchedulerBenchmark.cpp
@@ -0,0 +1,120 @@
+#include "balsammill/policy/Scheduler.h"
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+#include <stdexcept>
+
+using namespace Balsammill;
+
+namespace {
+
+constexpr std::uint32_t slotsEach = 8;
+constexpr Duration runTime = std::chrono::milliseconds(100);
+
+struct Shape {
+    std::uint32_t upstreams;
+    std::uint32_t methods;
+    std::uint32_t teams;
+    std::uint32_t queueLength;
+};
+
+/// A scheduler whose slots are all busy and whose queue keeps its length: each step submits one task, ends the one that
+/// has run longest and starts the next.
+class SteadyState {
+public:
+    SteadyState(QueueOrder order, const Shape& shape)
+        : shape_(shape)
+        , scheduler_({ .order = order, .maxQueuedTasks = 10'000'000 })
+        , step_(runTime / (shape.upstreams * slotsEach))
+    {
+        std::vector<UpstreamSpec> specs;
+        for (std::uint32_t i = 0; i < shape.upstreams; ++i)
+            specs.push_back({ .vm = VmName("upstream-" + std::to_string(i)), .slots = Slots(slotsEach) });
+        scheduler_.setUpstreams(specs, now_);
+        for (std::uint32_t i = 0; i < shape.methods; ++i)
+            methods_.emplace_back("balsammill.bench.Service/Method" + std::to_string(i));
+        for (std::uint32_t i = 0; i < shape.teams; ++i)
+            teams_.emplace_back("team-" + std::to_string(i));
+        for (std::uint32_t i = 0; i < shape.upstreams * slotsEach + shape.queueLength; ++i) {
+            submit();
+            startAll();
+        }
+    }
+
+    void step()
+    {
+        now_ += step_;
+        submit();
+        scheduler_.finished(running_.front(), TaskOutcome::Succeeded, now_);
+        running_.pop_front();
+        startAll();
+    }
+
+    std::uint32_t queued() const { return scheduler_.load(now_).queuedTasks; }
+
+private:
+    void submit()
+    {
+        const auto number = ++lastTask_;
+        const TaskSpec spec {
+            .id = TaskId(number),
+            .method = methods_[number % methods_.size()],
+            .team = teams_[number / methods_.size() % teams_.size()],
+            .urgencyWeight = 2 + static_cast<std::uint32_t>(number % 3),
+            .declaredRunTime = runTime,
+            .deadline = now_ + std::chrono::hours(1),
+        };
+        if (std::holds_alternative<Refused>(scheduler_.submit(spec, now_)))
+            throw std::runtime_error("the benchmark expects every task to be queued");
+    }
+
+    void startAll()
+    {
+        while (const auto assignment = scheduler_.nextAssignment(now_))
+            running_.push_back(assignment->task);
+    }
+
+    Shape shape_;
+    Scheduler scheduler_;
+    Duration step_;
+    TimePoint now_ { std::chrono::hours(1) };
+    std::vector<MethodName> methods_;
+    std::vector<TeamName> teams_;
+    std::deque<TaskId> running_;
+    std::uint64_t lastTask_ { 0 };
+};
+
+void runSteadyState(benchmark::State& state, QueueOrder order)
+{
+    const Shape shape { static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)),
+        static_cast<std::uint32_t>(state.range(2)), static_cast<std::uint32_t>(state.range(3)) };
+    SteadyState steady(order, shape);
+    for (auto _ : state)
+        steady.step();
+    if (steady.queued() != shape.queueLength)
+        state.SkipWithError("the queue did not keep its length");
+}
+
+void perTaskFair(benchmark::State& state) { runSteadyState(state, QueueOrder::Fair); }
+void perTaskFirstComeFirstServed(benchmark::State& state) { runSteadyState(state, QueueOrder::FirstComeFirstServed); }
+
+/// Changes one number at a time from a deployment of the present size.
+void shapes(benchmark::internal::Benchmark* benchmark)
+{
+    benchmark->ArgNames({ "upstreams", "methods", "teams", "queue" });
+    benchmark->Args({ 50, 3, 4, 1000 });
+    for (int upstreams : { 1, 17, 610 })
+        benchmark->Args({ upstreams, 3, 4, 1000 });
+    for (int methods : { 1, 30, 300 })
+        benchmark->Args({ 50, methods, 4, 1000 });
+    for (int teams : { 1, 21, 210 })
+        benchmark->Args({ 50, 3, teams, 1000 });
+    for (int queue : { 10, 10'000, 100'000, 1'000'000 })
+        benchmark->Args({ 50, 3, 4, queue });
+}
+
+BENCHMARK(perTaskFair)->Apply(shapes);
+BENCHMARK(perTaskFirstComeFirstServed)->Apply(shapes);
+
+} // namespace
--- a/libs/policy/src/DeadlineWheel.cpp
+++ b/libs/policy/src/DeadlineWheel.cpp
@@ -21,7 +21,7 @@
 {
 }
 
-std::int64_t DeadlineWheel::tickOf(const TaskRecord& task) const { return tickAt(task.spec.deadline); }
+std::int64_t DeadlineWheel::tickOf(const TaskRecord& task) const { return tickAt(task.deadline); }
 
 void DeadlineWheel::insert(TaskRecord& task)
 {
--- a/libs/policy/src/FairQueue.cpp
+++ b/libs/policy/src/FairQueue.cpp
@@ -17,7 +17,7 @@
 Duration overtakingAge(const TaskRecord& task)
 {
     const auto expected = task.runTimes->expected(task.sizeClass);
-    return std::min(std::max(minOvertakingAge, 2 * expected), (task.spec.deadline - task.queuedAt) / 2);
+    return std::min(std::max(minOvertakingAge, 2 * expected), (task.deadline - task.queuedAt) / 2);
 }
 
 } // namespace
@@ -101,17 +101,17 @@
     return *teamsByName_.emplace(name, std::move(flow)).first->second;
 }
 
-void FairQueue::bind(TaskRecord& task)
+void FairQueue::bind(TaskRecord& task, const TaskSpec& spec)
 {
-    auto& owner = team(task.spec.team);
-    auto& flow = owner.methods[task.spec.method];
+    auto& owner = team(spec.team);
+    auto& flow = owner.methods[spec.method];
     if (!flow) {
         flow = std::make_unique<MethodFlow>();
         flow->team = &owner;
         flow->runTimes = task.runTimes;
         flow->number = nextFlowNumber_++;
     }
-    const std::int64_t weight = std::max(1U, task.spec.urgencyWeight);
+    const std::int64_t weight = std::max(1U, spec.urgencyWeight);
     if (flow->active)
         owner.level.backloggedWeight += weight - flow->weight;
     flow->weight = weight;
@@ -123,7 +123,7 @@
     auto& flow = *task.flow;
     auto& tasks = flow.tasks[task.sizeClass];
     atFront ? tasks.pushFront(task) : tasks.pushBack(task);
-    flow.queuedSlots[task.sizeClass] += task.spec.slots.value;
+    flow.queuedSlots[task.sizeClass] += task.slots.value;
     ++flow.references;
     ++flow.team->references;
     if (flow.queuedTasks++ == 0)
@@ -140,7 +140,7 @@
 {
     auto& flow = *task.flow;
     flow.tasks[task.sizeClass].remove(task);
-    flow.queuedSlots[task.sizeClass] -= task.spec.slots.value;
+    flow.queuedSlots[task.sizeClass] -= task.slots.value;
     --flow.references;
     --flow.team->references;
     if (--flow.queuedTasks == 0)
@@ -182,7 +182,7 @@
     remove(task);
     ++flow.references;
     ++team.references;
-    task.charge = flow.runTimes->expected(task.sizeClass).count() * task.spec.slots.value;
+    task.charge = flow.runTimes->expected(task.sizeClass).count() * task.slots.value;
     team.level.charge(flow, static_cast<double>(task.charge));
     teams_.charge(team, static_cast<double>(task.charge));
     return &task;
--- a/libs/policy/src/FairQueue.h
+++ b/libs/policy/src/FairQueue.h
@@ -77,7 +77,7 @@
     void setTeamWeights(const std::map<TeamName, std::uint32_t>&);
 
     /// Finds the flow of a task that is about to be admitted or returned.
-    void bind(TaskRecord&);
+    void bind(TaskRecord&, const TaskSpec&);
     void push(TaskRecord&);
     void pushFront(TaskRecord&);
     /// Takes out the next task and charges its flow; null if the queue is empty.
--- a/libs/policy/src/FifoQueue.h
+++ b/libs/policy/src/FifoQueue.h
@@ -16,7 +16,7 @@
     }
 
     void setTeamWeights(const std::map<TeamName, std::uint32_t>&) { }
-    void bind(TaskRecord&) { }
+    void bind(TaskRecord&, const TaskSpec&) { }
     void push(TaskRecord& task) { tasks_.pushBack(task); }
     void pushFront(TaskRecord& task) { tasks_.pushFront(task); }
     TaskRecord* pop(TimePoint)
--- a/libs/policy/src/RunTimeEstimates.cpp
+++ b/libs/policy/src/RunTimeEstimates.cpp
@@ -13,13 +13,13 @@
 
 } // namespace
 
-std::size_t sizeClassOf(Duration declaredRunTime)
+std::uint32_t sizeClassOf(Duration declaredRunTime)
 {
     if (declaredRunTime <= Duration::zero())
         return 0;
     const auto millis = static_cast<std::uint64_t>(declaredRunTime.count()) / 1000;
-    const auto powerOfFour = millis == 0 ? 0 : (std::bit_width(millis) - 1) / 2;
-    return std::min<std::size_t>(1 + powerOfFour, sizeClassCount - 1);
+    const auto powerOfFour = millis == 0 ? 0U : static_cast<std::uint32_t>(std::bit_width(millis) - 1) / 2;
+    return std::min<std::uint32_t>(1 + powerOfFour, sizeClassCount - 1);
 }
 
 MethodRunTimes& RunTimeEstimates::of(const MethodName& method)
@@ -36,14 +36,19 @@
     sizeClass.expectedMicros = micros;
 }
 
-void RunTimeEstimates::addQueued(MethodRunTimes& method, std::size_t index, Slots slots, Duration declaredRunTime)
+void RunTimeEstimates::declare(MethodRunTimes& method, std::size_t index, Duration declaredRunTime)
+{
+    auto& sizeClass = method.classes_[index];
+    if (sizeClass.expectedMicros > 0)
+        return;
+    const auto undeclared
+        = method.methodAverage_ > 0 ? static_cast<std::int64_t>(method.methodAverage_) : defaultExpectedMicros;
+    setExpected(sizeClass, declaredRunTime > Duration::zero() ? declaredRunTime.count() : undeclared);
+}
+
+void RunTimeEstimates::addQueued(MethodRunTimes& method, std::size_t index, Slots slots)
 {
     auto& sizeClass = method.classes_[index];
-    if (sizeClass.expectedMicros == 0) {
-        const auto undeclared
-            = method.methodAverage_ > 0 ? static_cast<std::int64_t>(method.methodAverage_) : defaultExpectedMicros;
-        setExpected(sizeClass, declaredRunTime > Duration::zero() ? declaredRunTime.count() : undeclared);
-    }
     sizeClass.queuedSlots += slots.value;
     queuedSlotMicros_ += slots.value * sizeClass.expectedMicros;
     ++method.queuedTasks_;
--- a/libs/policy/src/RunTimeEstimates.h
+++ b/libs/policy/src/RunTimeEstimates.h
@@ -12,7 +12,7 @@
 /// Class 0 holds tasks without a declaration; the others hold a factor of four of declared run time each.
 constexpr std::size_t sizeClassCount = 8;
 
-std::size_t sizeClassOf(Duration declaredRunTime);
+std::uint32_t sizeClassOf(Duration declaredRunTime);
 
 /// Moving averages of the observed run time of one method, one for each size class. A class without an observation
 /// uses its first declaration, or the average of the method if there is none.
@@ -40,7 +40,9 @@
 public:
     MethodRunTimes& of(const MethodName&);
 
-    void addQueued(MethodRunTimes&, std::size_t sizeClass, Slots, Duration declaredRunTime);
+    /// Sets the estimate of a class that has none yet.
+    void declare(MethodRunTimes&, std::size_t sizeClass, Duration declaredRunTime);
+    void addQueued(MethodRunTimes&, std::size_t sizeClass, Slots);
     void removeQueued(MethodRunTimes&, std::size_t sizeClass, Slots);
     void observe(MethodRunTimes&, std::size_t sizeClass, Duration runTime);
 
--- a/libs/policy/src/Scheduler.cpp
+++ b/libs/policy/src/Scheduler.cpp
@@ -30,18 +30,21 @@
 
 void Scheduler::Detail::prepare(TaskRecord& task, const TaskSpec& spec, TimePoint now)
 {
-    task.spec = spec;
-    task.spec.slots.value = std::max(1U, spec.slots.value);
+    task.id = spec.id;
+    task.deadline = spec.deadline;
     task.queuedAt = now;
+    task.slots.value = std::max(1U, spec.slots.value);
+    task.avoidUpstream = spec.avoidUpstream;
     task.sizeClass = Balsammill::Detail::sizeClassOf(spec.declaredRunTime);
     task.runTimes = &estimates.of(spec.method);
-    std::visit([&](auto& order) { order.bind(task); }, queue);
+    estimates.declare(*task.runTimes, task.sizeClass, spec.declaredRunTime);
+    std::visit([&](auto& order) { order.bind(task, spec); }, queue);
 }
 
 void Scheduler::Detail::enqueue(TaskRecord& task, bool atFront)
 {
     task.state = TaskState::Queued;
-    estimates.addQueued(*task.runTimes, task.sizeClass, task.spec.slots, task.spec.declaredRunTime);
+    estimates.addQueued(*task.runTimes, task.sizeClass, task.slots);
     std::visit([&](auto& order) { atFront ? order.pushFront(task) : order.push(task); }, queue);
 }
 
@@ -70,8 +73,8 @@
         auto* task = std::visit([&](auto& order) { return order.pop(now); }, queue);
         if (!task)
             return nullptr;
-        estimates.removeQueued(*task->runTimes, task->sizeClass, task->spec.slots);
-        if (task->spec.deadline > now)
+        estimates.removeQueued(*task->runTimes, task->sizeClass, task->slots);
+        if (task->deadline > now)
             return task;
         settle(*task, 0);
         deadlines.remove(*task);
@@ -94,13 +97,13 @@
 
 bool Scheduler::Detail::holdForLater(TaskRecord& task)
 {
-    if (task.spec.slots.value > upstreams.maxSlots()) {
+    if (task.slots.value > upstreams.maxSlots()) {
         settle(task, 0);
         task.state = TaskState::Parked;
         parked.pushBack(task);
         return true;
     }
-    if (upstreams.onlyAvoidedIsFree(task.spec.slots, task.spec.avoidUpstream)) {
+    if (upstreams.onlyAvoidedIsFree(task.slots, task.avoidUpstream)) {
         task.state = TaskState::Avoiding;
         avoiding.pushBack(task);
         return true;
@@ -120,18 +123,18 @@
     task.startedAt = now;
     task.upstream = &upstream;
     task.upstreamGeneration = upstream.generation;
-    task.expectedSlotMicros = task.runTimes->expected(task.sizeClass).count() * task.spec.slots.value;
-    upstreams.start(upstream, task.spec.slots);
+    task.expectedSlotMicros = task.runTimes->expected(task.sizeClass).count() * task.slots.value;
+    upstreams.start(upstream, task.slots);
     --waitingTasks;
     ++runningTasks;
     runningSlotMicros += task.expectedSlotMicros;
-    return { task.spec.id, upstream.spec.vm };
+    return { task.id, upstream.spec.vm };
 }
 
 std::optional<Assignment> Scheduler::Detail::startHeld(
     TaskRecord& task, Balsammill::Detail::Upstream& upstream, TimePoint now)
 {
-    if (task.spec.deadline > now)
+    if (task.deadline > now)
         return start(task, upstream, now);
     settle(task, 0);
     deadlines.remove(task);
@@ -146,7 +149,7 @@
             return assignment;
     }
     while (auto* task = avoiding.front()) {
-        auto* upstream = upstreams.chooseElsewhere(task->spec.slots, task->spec.avoidUpstream);
+        auto* upstream = upstreams.chooseElsewhere(task->slots, task->avoidUpstream);
         if (!upstream)
             break;
         avoiding.remove(*task);
@@ -165,7 +168,7 @@
         auto* task = popLive(now);
         if (!task)
             return std::nullopt;
-        if (auto* upstream = upstreams.chooseElsewhere(task->spec.slots, task->spec.avoidUpstream))
+        if (auto* upstream = upstreams.chooseElsewhere(task->slots, task->avoidUpstream))
             return start(*task, *upstream, now);
         if (!holdForLater(*task))
             return std::nullopt;
@@ -178,7 +181,7 @@
     auto* task = popLive(now);
     if (!task)
         return std::nullopt;
-    const auto id = task->spec.id;
+    const auto id = task->id;
     settle(*task, 0);
     deadlines.remove(*task);
     --waitingTasks;
@@ -190,7 +193,7 @@
 {
     switch (task.state) {
     case TaskState::Queued:
-        estimates.removeQueued(*task.runTimes, task.sizeClass, task.spec.slots);
+        estimates.removeQueued(*task.runTimes, task.sizeClass, task.slots);
         std::visit([&](auto& order) { order.remove(task); }, queue);
         break;
     case TaskState::Reserved:
@@ -212,7 +215,7 @@
     }
 }
 
-void Scheduler::Detail::eraseRecord(const TaskRecord& task) { tasks.erase(TaskId(task.spec.id)); }
+void Scheduler::Detail::eraseRecord(const TaskRecord& task) { tasks.erase(TaskId(task.id)); }
 
 std::vector<TaskId> Scheduler::Detail::takeExpired(TimePoint now)
 {
@@ -224,7 +227,7 @@
     result.reserve(expired.size());
     while (auto* task = expired.front()) {
         expired.remove(*task);
-        result.push_back(task->spec.id);
+        result.push_back(task->id);
         --waitingTasks;
         eraseRecord(*task);
     }
@@ -257,13 +260,13 @@
     --runningTasks;
     if (outcome == TaskOutcome::TimedOut && run < slowRunFactor * expected)
         outcome = TaskOutcome::Cancelled;
-    upstreams.finish(*task.upstream, task.spec.slots, task.upstreamGeneration, outcome, now);
+    upstreams.finish(*task.upstream, task.slots, task.upstreamGeneration, outcome, now);
     const bool ended = outcome == TaskOutcome::Succeeded || outcome == TaskOutcome::ApplicationError;
     // A task that was cut off would have run for longer, so its time is a lower bound.
     const bool cutOff = outcome == TaskOutcome::TimedOut || outcome == TaskOutcome::Cancelled;
     if (ended || (cutOff && run > expected))
         estimates.observe(*task.runTimes, task.sizeClass, run);
-    settle(task, run.count() * task.spec.slots.value);
+    settle(task, run.count() * task.slots.value);
     tasks.erase(found);
 }
 
--- a/libs/policy/src/SchedulerAdmission.cpp
+++ b/libs/policy/src/SchedulerAdmission.cpp
@@ -37,7 +37,7 @@
     return Duration(slotMicrosAhead / slots + meanRun / (slots + 1));
 }
 
-std::optional<RpcErrorDetails> Scheduler::Detail::limitRefusal(const TaskRecord& task) const
+std::optional<RpcErrorDetails> Scheduler::Detail::limitRefusal(const TaskRecord& task, const TaskSpec& spec) const
 {
     const auto wait = waitFor(estimates.queuedSlotMicros());
     const auto limit = options.maxQueuedTasks;
@@ -48,26 +48,27 @@
         return exhausted("team and method hold " + std::to_string(inFlow) + " of " + std::to_string(waitingTasks)
                 + " queued tasks, the queue limit is " + std::to_string(limit),
             wait);
-    const auto methodLimit = task.spec.methodQueueLimit;
+    const auto methodLimit = spec.methodQueueLimit;
     if (methodLimit > 0 && task.runTimes->queuedTasks() >= methodLimit)
-        return exhausted("queue of " + task.spec.method.value
-                + " is full: " + std::to_string(task.runTimes->queuedTasks()) + " of " + std::to_string(methodLimit),
+        return exhausted("queue of " + spec.method.value + " is full: " + std::to_string(task.runTimes->queuedTasks())
+                + " of " + std::to_string(methodLimit),
             wait);
     return std::nullopt;
 }
 
-std::optional<RpcErrorDetails> Scheduler::Detail::refusal(const TaskRecord& task, TimePoint now) const
+std::optional<RpcErrorDetails> Scheduler::Detail::refusal(
+    const TaskRecord& task, const TaskSpec& spec, TimePoint now) const
 {
     if (!upstreams.hasUpstreams())
         return notRun(ErrorCode::Unavailable, "no upstream", minRetryDelay);
-    if (task.spec.slots.value > upstreams.maxSlots())
+    if (task.slots.value > upstreams.maxSlots())
         return notRun(ErrorCode::FailedPrecondition,
-            "task needs " + std::to_string(task.spec.slots.value) + " slots, the largest upstream has "
+            "task needs " + std::to_string(task.slots.value) + " slots, the largest upstream has "
                 + std::to_string(upstreams.maxSlots()));
-    if (auto limit = limitRefusal(task))
+    if (auto limit = limitRefusal(task, spec))
         return limit;
     const auto wait = waitFor(std::visit([&](const auto& order) { return order.slotMicrosAhead(task); }, queue));
-    const auto budget = task.spec.deadline - now;
+    const auto budget = task.deadline - now;
     // A task that could start but not end in time wastes its run. At most half the budget is kept for the run, so that
     // an estimate that is far too long cannot refuse a task when nothing is queued.
     const bool observed = task.runTimes->observed(task.sizeClass);
@@ -83,7 +84,7 @@
 {
     TaskRecord task;
     prepare(task, spec, now);
-    if (auto error = refusal(task, now))
+    if (auto error = refusal(task, spec, now))
         return Refused { std::move(*error) };
     const auto [entry, added] = tasks.try_emplace(spec.id, std::move(task));
     if (!added)
--- a/libs/policy/src/SchedulerDetail.h
+++ b/libs/policy/src/SchedulerDetail.h
@@ -29,8 +29,8 @@
     SchedulerLoad load() const;
     std::optional<TimePoint> nextWakeUp() const;
 
-    std::optional<RpcErrorDetails> refusal(const TaskRecord&, TimePoint now) const;
-    std::optional<RpcErrorDetails> limitRefusal(const TaskRecord&) const;
+    std::optional<RpcErrorDetails> refusal(const TaskRecord&, const TaskSpec&, TimePoint now) const;
+    std::optional<RpcErrorDetails> limitRefusal(const TaskRecord&, const TaskSpec&) const;
     /// Time until a task with this much queued slot time ahead of it starts.
     Duration waitFor(std::int64_t slotMicrosAhead) const;
     void prepare(TaskRecord&, const TaskSpec&, TimePoint now);
--- a/libs/policy/src/TaskRecord.h
+++ b/libs/policy/src/TaskRecord.h
@@ -22,15 +22,19 @@
     Running,
 };
 
-/// One task that the scheduler holds.
+/// One task that the scheduler holds. Kept small, because a long queue is limited by memory access.
 struct TaskRecord {
-    TaskSpec spec;
-    TaskState state { TaskState::Queued };
+    TaskId id;
+    TimePoint deadline;
     TimePoint queuedAt;
     TimePoint startedAt;
+    Slots slots { 1 };
+    std::uint32_t sizeClass { 0 };
+    TaskState state { TaskState::Queued };
+    /// Ejections of the upstream before the start; results of older starts say nothing about its health.
+    std::uint32_t upstreamGeneration { 0 };
     /// Position by arrival; negative for a task that was returned to the front.
     std::int64_t arrival { 0 };
-    std::size_t sizeClass { 0 };
     MethodRunTimes* runTimes { nullptr };
     MethodFlow* flow { nullptr };
     /// Slot time in microseconds that its flow was charged when it left the queue.
@@ -38,10 +42,9 @@
     /// Expected slot time at the start.
     std::int64_t expectedSlotMicros { 0 };
     Upstream* upstream { nullptr };
-    /// Ejections of the upstream before the start; results of older starts say nothing about its health.
-    std::uint32_t upstreamGeneration { 0 };
     ListLink<TaskRecord> queueLink;
     ListLink<TaskRecord> deadlineLink;
+    VmName avoidUpstream;
 };
 
 using TaskList = IntrusiveList<TaskRecord, &TaskRecord::queueLink>;
--- a/libs/policy/src/UpstreamSet.cpp
+++ b/libs/policy/src/UpstreamSet.cpp
@@ -37,7 +37,7 @@
 
 bool reservationReady(const Upstream& upstream)
 {
-    return upstream.reservedFor && isUsable(upstream) && freeOf(upstream) >= upstream.reservedFor->spec.slots.value;
+    return upstream.reservedFor && isUsable(upstream) && freeOf(upstream) >= upstream.reservedFor->slots.value;
 }
 
 } // namespace
@@ -129,7 +129,7 @@
     for (auto& entry : upstreams_) {
         auto* upstream = entry.second.get();
         auto* reserved = upstream->reservedFor;
-        const bool lost = reserved && (!isPresent(*upstream) || upstream->spec.slots < reserved->spec.slots);
+        const bool lost = reserved && (!isPresent(*upstream) || upstream->spec.slots < reserved->slots);
         if (lost)
             lostReservations.push_back(reserved);
         update(*upstream, [&] {
@@ -244,7 +244,7 @@
 
 bool UpstreamSet::reserve(TaskRecord& task)
 {
-    if (reservable_.empty() || (*reservable_.begin())->indexedLimit < task.spec.slots.value)
+    if (reservable_.empty() || (*reservable_.begin())->indexedLimit < task.slots.value)
         return false;
     auto& upstream = **reservable_.begin();
     update(upstream, [&] {
