--- a/libs/rpc/include/balsammill/rpc/ConnectClient.h
+++ b/libs/rpc/include/balsammill/rpc/ConnectClient.h
@@ -8,9 +8,11 @@
     NetworkAddress address;
     MethodName method;
     Encoding encoding { Encoding::Json };
-    std::string body;
-    TeamName team;
-    std::string bearerToken;
+    std::string body {};
+    TeamName team {};
+    std::string bearerToken {};
+    /// Sent as Balsammill-Task-Id; names the call in time line and start logs.
+    std::string taskId {};
     TimePoint deadline;
 };
 
