--- a/libs/policy/include/balsammill/policy/Scheduler.h
+++ b/libs/policy/include/balsammill/policy/Scheduler.h
@@ -3,11 +3,13 @@
 #include "balsammill/base/RpcError.h"
 #include "balsammill/base/StrongId.h"
 #include "balsammill/base/Units.h"
+#include "balsammill/policy/TeamDemand.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -15,7 +17,7 @@
 
 /// What the scheduler knows about one task; calls and the tasks of jobs look the same to it.
 struct TaskSpec {
-    TaskId id;
+    TaskId id {};
     MethodName method;
     TeamName team;
     /// Weight of the method within its team; from its urgency.
@@ -23,7 +25,7 @@
     Slots slots { 1 };
     /// Declared run time; the scheduler replaces it by what it observes.
     Duration declaredRunTime {};
-    TimePoint deadline;
+    TimePoint deadline {};
     /// Zero if only the total queue limit applies.
     std::uint32_t methodQueueLimit { 0 };
     /// Upstream of a failed attempt; the task goes elsewhere as long as another upstream is usable. Empty if none.
@@ -94,6 +96,8 @@
     Duration expectedWait {};
 };
 
+std::string_view nameOf(TaskOutcome);
+
 enum class UpstreamHealth {
     Healthy,
     Ejected,
@@ -101,6 +105,8 @@
     Leaving,
 };
 
+std::string_view nameOf(UpstreamHealth);
+
 struct UpstreamStatus {
     VmName vm;
     Slots slots;
@@ -134,6 +140,8 @@
 
     SchedulerLoad load(TimePoint now) const;
     std::vector<UpstreamStatus> upstreams(TimePoint now) const;
+    /// Teams with queued or running tasks; empty for the baseline order, which does not tell teams apart.
+    std::vector<TeamDemand> teamDemands() const;
     /// Earliest time at which nextAssignment() or takeExpired() may have news without a further call.
     std::optional<TimePoint> nextWakeUp() const;
 
--- a/libs/policy/src/FairQueue.cpp
+++ b/libs/policy/src/FairQueue.cpp
@@ -124,6 +124,7 @@
     auto& tasks = flow.tasks[task.sizeClass];
     atFront ? tasks.pushFront(task) : tasks.pushBack(task);
     flow.queuedSlots[task.sizeClass] += task.slots.value;
+    flow.team->queuedSlots += task.slots.value;
     ++flow.references;
     ++flow.team->references;
     if (flow.queuedTasks++ == 0)
@@ -141,6 +142,7 @@
     auto& flow = *task.flow;
     flow.tasks[task.sizeClass].remove(task);
     flow.queuedSlots[task.sizeClass] -= task.slots.value;
+    flow.team->queuedSlots -= task.slots.value;
     --flow.references;
     --flow.team->references;
     if (--flow.queuedTasks == 0)
@@ -182,6 +184,7 @@
     remove(task);
     ++flow.references;
     ++team.references;
+    team.slotsInUse += task.slots.value;
     task.charge = flow.runTimes->expected(task.sizeClass).count() * task.slots.value;
     team.level.charge(flow, static_cast<double>(task.charge));
     teams_.charge(team, static_cast<double>(task.charge));
@@ -195,10 +198,21 @@
     correct(flow.team->level, flow, difference, totalSlots);
     correct(teams_, *flow.team, difference, totalSlots);
     task.charge = 0;
+    flow.team->slotsInUse -= task.slots.value;
     --flow.references;
     --flow.team->references;
 }
 
+std::vector<TeamDemand> FairQueue::teamDemands() const
+{
+    std::vector<TeamDemand> demands;
+    for (const auto& [name, flow] : teamsByName_) {
+        if (flow->queuedSlots > 0 || flow->slotsInUse > 0)
+            demands.push_back({ .team = name, .slotsInUse = flow->slotsInUse, .queued = flow->queuedSlots });
+    }
+    return demands;
+}
+
 std::int64_t FairQueue::slotMicrosAhead(const TaskRecord& task) const
 {
     const auto& flow = *task.flow;
--- a/libs/policy/src/FairQueue.h
+++ b/libs/policy/src/FairQueue.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace Balsammill::Detail {
 
@@ -64,6 +65,8 @@
     FlowLevel<MethodFlow> level;
     std::unordered_map<MethodName, std::unique_ptr<MethodFlow>> methods;
     std::size_t references { 0 };
+    std::uint32_t queuedSlots { 0 };
+    std::uint32_t slotsInUse { 0 };
 };
 
 /// Start-time fair queueing over teams and, within a team, over methods. Tasks are charged by expected slot time when
@@ -89,6 +92,8 @@
     bool empty() const { return teams_.backlogged.empty(); }
     /// Tasks of the same flow that are queued.
     std::size_t queuedInFlow(const TaskRecord& task) const { return task.flow->queuedTasks; }
+    std::vector<TeamDemand> teamDemands() const;
+    std::size_t teamCount() const { return teamsByName_.size(); }
     /// Slot time that has to be worked off, over all flows, before a task that arrives now starts.
     std::int64_t slotMicrosAhead(const TaskRecord&) const;
 
--- a/libs/policy/src/FifoQueue.h
+++ b/libs/policy/src/FifoQueue.h
@@ -28,6 +28,7 @@
     }
     void remove(TaskRecord& task) { tasks_.remove(task); }
     void settle(TaskRecord&, std::int64_t, std::uint32_t) { }
+    std::vector<TeamDemand> teamDemands() const { return {}; }
     bool empty() const { return tasks_.empty(); }
     /// Zero, because the baseline has no flows.
     std::size_t queuedInFlow(const TaskRecord&) const { return 0; }
--- a/libs/policy/src/RunTimeEstimates.cpp
+++ b/libs/policy/src/RunTimeEstimates.cpp
@@ -22,6 +22,12 @@
     return std::min<std::uint32_t>(1 + powerOfFour, sizeClassCount - 1);
 }
 
+Duration MethodRunTimes::typical(std::size_t sizeClass) const
+{
+    const auto average = classes_[sizeClass].endedAverage;
+    return average > 0 ? Duration(static_cast<std::int64_t>(average)) : expected(sizeClass);
+}
+
 MethodRunTimes& RunTimeEstimates::of(const MethodName& method)
 {
     auto& entry = methods_[method];
@@ -75,4 +81,18 @@
         = method.methodAverage_ > 0 ? method.methodAverage_ + sampleWeight * (sample - method.methodAverage_) : sample;
 }
 
+void RunTimeEstimates::observeEnded(MethodRunTimes& method, std::size_t index, Duration runTime)
+{
+    observe(method, index, runTime);
+    auto& average = method.classes_[index].endedAverage;
+    const auto sample = static_cast<double>(std::max<std::int64_t>(runTime.count(), 1));
+    average = average > 0 ? average + sampleWeight * (sample - average) : sample;
+}
+
+void RunTimeEstimates::observeCutOff(MethodRunTimes& method, std::size_t index, Duration runTime)
+{
+    if (runTime > method.expected(index))
+        observe(method, index, runTime);
+}
+
 } // namespace Balsammill::Detail
--- a/libs/policy/src/RunTimeEstimates.h
+++ b/libs/policy/src/RunTimeEstimates.h
@@ -19,6 +19,9 @@
 class MethodRunTimes {
 public:
     Duration expected(std::size_t sizeClass) const { return Duration(classes_[sizeClass].expectedMicros); }
+    /// Average of the tasks that ended by themselves; the expectation if there is none. It stays low when tasks are cut
+    /// off on one upstream that hangs.
+    Duration typical(std::size_t sizeClass) const;
     bool observed(std::size_t sizeClass) const { return classes_[sizeClass].samples > 0; }
     std::uint32_t queuedTasks() const { return queuedTasks_; }
 
@@ -27,6 +30,7 @@
     struct SizeClass {
         std::int64_t expectedMicros { 0 };
         std::uint32_t samples { 0 };
+        double endedAverage { 0 };
         std::int64_t queuedSlots { 0 };
     };
     std::array<SizeClass, sizeClassCount> classes_;
@@ -44,12 +48,15 @@
     void declare(MethodRunTimes&, std::size_t sizeClass, Duration declaredRunTime);
     void addQueued(MethodRunTimes&, std::size_t sizeClass, Slots);
     void removeQueued(MethodRunTimes&, std::size_t sizeClass, Slots);
-    void observe(MethodRunTimes&, std::size_t sizeClass, Duration runTime);
+    void observeEnded(MethodRunTimes&, std::size_t sizeClass, Duration runTime);
+    /// The task was cut off after this time, which is a lower bound of its run time.
+    void observeCutOff(MethodRunTimes&, std::size_t sizeClass, Duration runTime);
 
     /// Slot time of all queued tasks in microseconds.
     std::int64_t queuedSlotMicros() const { return queuedSlotMicros_; }
 
 private:
+    void observe(MethodRunTimes&, std::size_t sizeClass, Duration runTime);
     void setExpected(MethodRunTimes::SizeClass&, std::int64_t micros);
 
     std::unordered_map<MethodName, std::unique_ptr<MethodRunTimes>> methods_;
--- a/libs/policy/src/Scheduler.cpp
+++ b/libs/policy/src/Scheduler.cpp
@@ -255,17 +255,15 @@
         return;
     auto& task = found->second;
     const auto run = std::max(now - task.startedAt, Duration::zero());
-    const auto expected = task.runTimes->expected(task.sizeClass);
     runningSlotMicros -= task.expectedSlotMicros;
     --runningTasks;
-    if (outcome == TaskOutcome::TimedOut && run < slowRunFactor * expected)
+    if (outcome == TaskOutcome::TimedOut && run < slowRunFactor * task.runTimes->typical(task.sizeClass))
         outcome = TaskOutcome::Cancelled;
     upstreams.finish(*task.upstream, task.slots, task.upstreamGeneration, outcome, now);
-    const bool ended = outcome == TaskOutcome::Succeeded || outcome == TaskOutcome::ApplicationError;
-    // A task that was cut off would have run for longer, so its time is a lower bound.
-    const bool cutOff = outcome == TaskOutcome::TimedOut || outcome == TaskOutcome::Cancelled;
-    if (ended || (cutOff && run > expected))
-        estimates.observe(*task.runTimes, task.sizeClass, run);
+    if (outcome == TaskOutcome::Succeeded || outcome == TaskOutcome::ApplicationError)
+        estimates.observeEnded(*task.runTimes, task.sizeClass, run);
+    else if (outcome == TaskOutcome::TimedOut || outcome == TaskOutcome::Cancelled)
+        estimates.observeCutOff(*task.runTimes, task.sizeClass, run);
     settle(task, run.count() * task.slots.value);
     tasks.erase(found);
 }
@@ -330,6 +328,11 @@
 bool Scheduler::cancel(TaskId id) { return detail_->cancel(id); }
 void Scheduler::finished(TaskId id, TaskOutcome outcome, TimePoint now) { detail_->finished(id, outcome, now); }
 SchedulerLoad Scheduler::load(TimePoint) const { return detail_->load(); }
+std::vector<TeamDemand> Scheduler::teamDemands() const
+{
+    return std::visit([](const auto& order) { return order.teamDemands(); }, detail_->queue);
+}
+
 std::vector<UpstreamStatus> Scheduler::upstreams(TimePoint) const { return detail_->upstreams.status(); }
 std::optional<TimePoint> Scheduler::nextWakeUp() const { return detail_->nextWakeUp(); }
 
--- /dev/null
+++ b/libs/policy/tests/RetryBudgetTests.cpp
@@ -0,0 +1,32 @@
+#include "balsammill/policy/RetryBudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace Balsammill;
+using namespace std::chrono_literals;
+
+// Guards against retries that multiply the load when everything fails.
+TEST_CASE("Retries stay within a tenth of recent calls")
+{
+    RetryBudget budget;
+    auto now = TimePoint(1h);
+    std::size_t retries = 0;
+    for (int i = 0; i < 10'000; ++i, now += 1ms) {
+        budget.recordCall(now);
+        retries += budget.takeRetry(now) ? 1 : 0;
+    }
+    CHECK(retries >= 950);
+    CHECK(retries <= 1030);
+}
+
+// Guards against a service with few calls that cannot retry at all, and against a budget that is never renewed.
+TEST_CASE("Three retries per second are allowed however few calls there are")
+{
+    RetryBudget budget;
+    for (auto now : { TimePoint(1h), TimePoint(1h + 1s), TimePoint(2h) }) {
+        budget.recordCall(now);
+        for (int i = 0; i < 3; ++i)
+            CHECK(budget.takeRetry(now));
+        CHECK_FALSE(budget.takeRetry(now));
+    }
+}
--- /dev/null
+++ b/libs/policy/tests/SchedulerTests.cpp
@@ -0,0 +1,220 @@
+#include "SchedulerFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace Balsammill;
+using namespace Balsammill::Testing;
+using namespace std::chrono_literals;
+
+// Guards against a task that is queued although nothing can ever run it.
+TEST_CASE("A task is refused at once when no upstream can run it")
+{
+    Scheduler scheduler({});
+    const auto withoutUpstreams = refusalOf(scheduler.submit(task(1), at(0s)));
+    CHECK(withoutUpstreams.code == ErrorCode::Unavailable);
+    CHECK(withoutUpstreams.verdict == Verdict::NotRun);
+
+    scheduler.setUpstreams({ { .vm = VmName("a"), .leaving = true } }, at(0s));
+    CHECK(refusalOf(scheduler.submit(task(1), at(0s))).code == ErrorCode::Unavailable);
+
+    scheduler.setUpstreams(upstreams(2, 8), at(0s));
+    auto wide = task(1);
+    wide.slots = Slots(9);
+    const auto tooWide = refusalOf(scheduler.submit(wide, at(0s)));
+    CHECK(tooWide.code == ErrorCode::FailedPrecondition);
+    CHECK(tooWide.verdict == Verdict::NotRun);
+    CHECK(tooWide.message == "task needs 9 slots, the largest upstream has 8");
+}
+
+// Guards against tasks that wait in the queue only to pass their deadline there.
+TEST_CASE("A task whose expected start is past its deadline is refused early with a retry delay")
+{
+    for (auto order : { QueueOrder::Fair, QueueOrder::FirstComeFirstServed }) {
+        Scheduler scheduler({ .order = order });
+        scheduler.setUpstreams(upstreams(1, 1), at(0s));
+        std::uint64_t id = 0;
+        while (std::holds_alternative<Queued>(scheduler.submit(task(++id, 100ms, 1s), at(0s))))
+            startAll(scheduler, at(0s));
+        // One task runs, and ten of 100 ms fill the second before the deadline.
+        CHECK(id >= 10);
+        CHECK(id <= 12);
+        const auto refused = refusalOf(scheduler.submit(task(++id, 100ms, 1s), at(0s)));
+        CHECK(refused.code == ErrorCode::ResourceExhausted);
+        CHECK(refused.verdict == Verdict::NotRun);
+        CHECK(refused.retryAfter >= 500ms);
+        CHECK(std::holds_alternative<Queued>(scheduler.submit(task(++id, 100ms, 5s), at(0s))));
+    }
+}
+
+// Guards against queues that grow without bound, and against one flow that takes the whole queue.
+TEST_CASE("Queue limits refuse with resource_exhausted and leave room for other teams")
+{
+    Scheduler scheduler({ .maxQueuedTasks = 90 });
+    scheduler.setUpstreams(upstreams(1, 1), at(0s));
+    std::uint64_t id = 0;
+    std::size_t accepted = 0;
+    for (int i = 0; i < 200; ++i)
+        accepted += std::holds_alternative<Queued>(scheduler.submit(task(++id, 1ms, 60s), at(0s))) ? 1 : 0;
+    CHECK(accepted == 81);
+    auto other = task(++id, 1ms, 60s);
+    other.team = TeamName("other");
+    CHECK(std::holds_alternative<Queued>(scheduler.submit(other, at(0s))));
+
+    auto limited = task(++id, 1ms, 60s);
+    limited.method = MethodName("limited");
+    limited.methodQueueLimit = 1;
+    CHECK(std::holds_alternative<Queued>(scheduler.submit(limited, at(0s))));
+    limited.id = TaskId(++id);
+    const auto refused = refusalOf(scheduler.submit(limited, at(0s)));
+    CHECK(refused.code == ErrorCode::ResourceExhausted);
+    CHECK(refused.message == "queue of limited is full: 1 of 1");
+}
+
+// Guards against admission and charging that go on trusting declarations that are wrong by a factor of a hundred.
+TEST_CASE("Wrong declared run times are corrected by observation")
+{
+    SUBCASE("A declaration that is far too long does not keep tasks out")
+    {
+        Scheduler scheduler({});
+        scheduler.setUpstreams(upstreams(1, 1), at(0s));
+        auto now = at(0s);
+        for (std::uint64_t id = 1; id <= 3; ++id, now += 10ms) {
+            REQUIRE(std::holds_alternative<Queued>(scheduler.submit(task(id, 10s, 1s), now)));
+            REQUIRE(startAll(scheduler, now).size() == 1);
+            scheduler.finished(TaskId(id), TaskOutcome::Succeeded, now + 10ms);
+        }
+        for (std::uint64_t id = 10; id < 20; ++id)
+            CHECK(std::holds_alternative<Queued>(scheduler.submit(task(id, 10s, 1s), now)));
+    }
+    SUBCASE("Work that declares a hundredth of its run time gets no more than its share")
+    {
+        Simulation simulation({}, 10, 8, 3);
+        const auto results = simulation.run(
+            {
+                { .method = MethodName("honest"), .team = TeamName("a"), .tasksPerSecond = 1600 },
+                { .method = MethodName("wrong"),
+                    .team = TeamName("b"),
+                    .tasksPerSecond = 1600,
+                    .declaredRunTime = 1ms },
+            },
+            20s);
+        const auto ratio = static_cast<double>(results[1].slotMicros) / static_cast<double>(results[0].slotMicros);
+        CHECK(ratio > 0.8);
+        CHECK(ratio < 1.25);
+    }
+}
+
+// Guards against starvation of low weights, of long tasks and of tasks that need several slots at once.
+TEST_CASE("No kind of work starves beside a backlog of other work")
+{
+    Simulation simulation({ .teamWeights = { { TeamName("large"), 50 } } }, 4, 8, 11);
+    const auto results = simulation.run(
+        {
+            { .method = MethodName("short"),
+                .team = TeamName("large"),
+                .urgencyWeight = 4,
+                .tasksPerSecond = 3200,
+                .meanRunTime = 20ms,
+                .declaredRunTime = 20ms },
+            { .method = MethodName("short"),
+                .team = TeamName("large"),
+                .urgencyWeight = 4,
+                .tasksPerSecond = 0.4,
+                .meanRunTime = 1s,
+                .declaredRunTime = 1s,
+                .timeout = 10s },
+            { .method = MethodName("wide"),
+                .team = TeamName("large"),
+                .urgencyWeight = 2,
+                .tasksPerSecond = 1,
+                .timeout = 10s,
+                .slots = Slots(8) },
+            { .method = MethodName("short"), .team = TeamName("small"), .tasksPerSecond = 2, .timeout = 10s },
+        },
+        120s);
+    for (std::size_t i = 1; i < results.size(); ++i) {
+        CAPTURE(i);
+        CHECK(results[i].expired == 0);
+        CHECK(results[i].completedShare() >= 0.95);
+    }
+}
+
+// Guards against short tasks that wait behind long ones, and against long ones that are overtaken without end.
+TEST_CASE("Within a method shorter size classes go first until the longer task is old")
+{
+    Scheduler scheduler({});
+    scheduler.setUpstreams(upstreams(1, 1), at(0s));
+    scheduler.submit(task(1, 10ms, 60s), at(0s));
+    CHECK(startAll(scheduler, at(0s)) == std::vector { TaskId(1) });
+    scheduler.submit(task(2, 1s, 60s), at(1ms));
+    scheduler.submit(task(3, 10ms, 60s), at(2ms));
+    scheduler.submit(task(4, 12ms, 60s), at(3ms));
+    scheduler.finished(TaskId(1), TaskOutcome::Succeeded, at(10ms));
+    CHECK(startAll(scheduler, at(10ms)) == std::vector { TaskId(3) });
+    scheduler.finished(TaskId(3), TaskOutcome::Succeeded, at(2500ms));
+    CHECK(startAll(scheduler, at(2500ms)) == std::vector { TaskId(2) });
+}
+
+// Guards against a task that is answered twice or not at all when it is cancelled, expires or is returned.
+TEST_CASE("A task leaves the queue exactly once")
+{
+    Scheduler scheduler({});
+    scheduler.setUpstreams(upstreams(1, 1), at(0s));
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        scheduler.submit(task(id, 1ms, id * 1s), at(0s));
+    CHECK(startAll(scheduler, at(0s)) == std::vector { TaskId(1) });
+    CHECK_FALSE(scheduler.cancel(TaskId(1)));
+    CHECK(scheduler.cancel(TaskId(3)));
+    CHECK_FALSE(scheduler.cancel(TaskId(3)));
+    CHECK(scheduler.takeExpired(at(1s)).empty());
+    CHECK(scheduler.takeExpired(at(2100ms)) == std::vector { TaskId(2) });
+    scheduler.finished(TaskId(1), TaskOutcome::RefusedFull, at(2200ms));
+    scheduler.requeue(task(1, 1ms, 9s), at(2200ms));
+    CHECK(scheduler.nextWakeUp().has_value());
+    CHECK(startAll(scheduler, at(2300ms)) == std::vector { TaskId(1) });
+    CHECK(scheduler.takeForForwarding(at(2300ms)) == TaskId(4));
+    // The deadline of the last task has passed when a slot becomes free, so it is not started any more.
+    scheduler.finished(TaskId(1), TaskOutcome::Succeeded, at(6s));
+    CHECK(startAll(scheduler, at(6s)).empty());
+    CHECK(scheduler.takeExpired(at(6s)) == std::vector { TaskId(5) });
+    CHECK(scheduler.load(at(6s)).queuedTasks == 0);
+    CHECK(scheduler.load(at(6s)).runningTasks == 0);
+    CHECK(scheduler.load(at(6s)).freeSlots == 1);
+}
+
+// Guards against a wide task that never finds enough free slots because narrow tasks take each one.
+TEST_CASE("A task of several slots reserves an upstream until enough of its slots are free")
+{
+    Scheduler scheduler({});
+    scheduler.setUpstreams(upstreams(1, 4), at(0s));
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        scheduler.submit(task(id, 100ms, 60s), at(0s));
+    CHECK(startAll(scheduler, at(0s)).size() == 4);
+    auto wide = task(5, 100ms, 60s);
+    wide.slots = Slots(3);
+    scheduler.submit(wide, at(0s));
+    for (std::uint64_t id = 6; id <= 9; ++id)
+        scheduler.submit(task(id, 100ms, 60s), at(0s));
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        scheduler.finished(TaskId(id), TaskOutcome::Succeeded, at(100ms));
+        CHECK(startAll(scheduler, at(100ms)).empty());
+    }
+    SUBCASE("It starts as soon as they are")
+    {
+        scheduler.finished(TaskId(3), TaskOutcome::Succeeded, at(100ms));
+        CHECK(startAll(scheduler, at(100ms)) == std::vector { TaskId(5) });
+    }
+    SUBCASE("Its cancellation gives the slots back")
+    {
+        CHECK(scheduler.cancel(TaskId(5)));
+        CHECK(startAll(scheduler, at(100ms)) == std::vector { TaskId(6), TaskId(7) });
+    }
+    SUBCASE("It waits when its upstream leaves, and expires if no other one comes")
+    {
+        scheduler.setUpstreams({ { .vm = VmName("small"), .slots = Slots(2) } }, at(100ms));
+        CHECK(startAll(scheduler, at(100ms)) == std::vector { TaskId(6), TaskId(7) });
+        CHECK(scheduler.takeExpired(at(61s)).size() == 3);
+    }
+}
