--- a/libs/jobs/include/balsammill/jobs/JobLedger.h
+++ b/libs/jobs/include/balsammill/jobs/JobLedger.h
@@ -89,6 +89,8 @@
     std::vector<ShardStatus> statuses() const;
     /// True if this process still is a primary or backup although another entry could take its place.
     bool hasSharesToHandOver() const;
+    /// Jobs started here that have not ended, and outcomes that another entry has not acknowledged yet.
+    std::size_t unfinishedJobs() const;
 
 private:
     enum class MessageKind {
--- a/libs/jobs/src/JobLedgerShards.cpp
+++ b/libs/jobs/src/JobLedgerShards.cpp
@@ -292,6 +292,14 @@
     return result;
 }
 
+std::size_t JobLedger::unfinishedJobs() const
+{
+    const auto unacknowledged = std::count_if(outgoing_.begin(), outgoing_.end(), [](const auto& entry) {
+        return entry.second.kind == MessageKind::Outcome || entry.second.kind == MessageKind::Report;
+    });
+    return started_.size() + static_cast<std::size_t>(unacknowledged);
+}
+
 bool JobLedger::hasSharesToHandOver() const
 {
     const auto others = peers_.ranked({});
