Add the upstream stand-in

Tests and measurements need upstreams that serve any schema, whose answers can be checked against their requests, and whose log tells which task started where and when.

A stand-in ends without joining its threads, because stopping 50 servers in turn would take seconds.

--- a/standin/Lifetime.cpp
+++ b/standin/Lifetime.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <poll.h>
 #include <sstream>
@@ -57,6 +58,12 @@
     return false;
 }
 
+void endProcess()
+{
+    std::cout.flush();
+    std::_Exit(0);
+}
+
 void printReady(std::uint16_t port, const std::string& portsJson)
 {
     std::cout << R"({"ready":true,"port":)" << port;
--- a/standin/Lifetime.h
+++ b/standin/Lifetime.h
@@ -29,6 +29,11 @@
     bool exitWithStdin_;
 };
 
+/// Ends the process with status 0 without joining its threads.
+///
+/// Open requests are cut off, as when a VM dies; stopping each server in turn could take seconds.
+[[noreturn]] void endProcess();
+
 /// Prints the one line on standard output that says that the ports are open.
 void printReady(std::uint16_t port, const std::string& portsJson = {});
 
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -11,6 +11,7 @@
     CLI::App app("Stand-ins for the outside systems of balsammill, for tests");
     app.require_subcommand(1);
     addPlatformCommand(app);
+    addUpstreamCommand(app);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/standin/PlatformCommand.cpp
+++ b/standin/PlatformCommand.cpp
@@ -36,6 +36,7 @@
             .handler = [&](HttpRequest& request, HttpResponse& response) { platform.handle(request, response); } });
         printReady(http.port());
         lifetime.waitForEnd();
+        endProcess();
     });
 }
 
