--- a/libs/config/include/balsammill/config/ActiveConfig.h
+++ b/libs/config/include/balsammill/config/ActiveConfig.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-namespace balsammill::v1 { // NOLINT(readability-identifier-naming)
+namespace balsammill::v1 {
 class DeploymentConfig;
 }
 
--- a/libs/entry/include/balsammill/entry/JobService.h
+++ b/libs/entry/include/balsammill/entry/JobService.h
@@ -3,6 +3,7 @@
 #include "balsammill/base/ProcessId.h"
 #include "balsammill/base/RcuCell.h"
 #include "balsammill/base/Units.h"
+#include "balsammill/entry/PeerSender.h"
 
 #include <functional>
 #include <memory>
@@ -28,9 +29,6 @@
 struct ActiveConfig;
 struct MemberView;
 
-/// Sends a message to the entry process on a VM; false if it could not be handed to the transport.
-using PeerSender = std::function<bool(const VmName&, const balsammill::internal::PeerMessage&)>;
-
 struct JobServiceOptions {
     ProcessId self;
     FailureDomain domain;
--- a/libs/schema/include/balsammill/schema/MethodInfo.h
+++ b/libs/schema/include/balsammill/schema/MethodInfo.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace google::protobuf { // NOLINT(readability-identifier-naming)
+namespace google::protobuf {
 class Descriptor;
 }
 
--- a/libs/schema/src/MethodPolicies.h
+++ b/libs/schema/src/MethodPolicies.h
@@ -5,7 +5,7 @@
 
 #include <vector>
 
-namespace google::protobuf { // NOLINT(readability-identifier-naming)
+namespace google::protobuf {
 class MethodDescriptor;
 }
 
--- a/libs/schema/src/WireCheck.h
+++ b/libs/schema/src/WireCheck.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace google::protobuf { // NOLINT(readability-identifier-naming)
+namespace google::protobuf {
 class Descriptor;
 }
 
