--- a/libs/entry/include/balsammill/entry/Dispatcher.h
+++ b/libs/entry/include/balsammill/entry/Dispatcher.h
@@ -54,8 +54,8 @@
 using TaskForwarder = std::function<bool(const DispatchTask&, DispatchCompletion)>;
 
 struct DispatcherOptions {
-    SchedulerOptions scheduler;
-    UpstreamPoolOptions pool;
+    SchedulerOptions scheduler {};
+    UpstreamPoolOptions pool {};
     std::size_t maxExecutorThreads { 512 };
     /// May be null.
     Timeline* timeline { nullptr };
@@ -82,6 +82,8 @@
     SchedulerLoad load(const ServiceName&) const;
     std::vector<UpstreamStatus> upstreams(const ServiceName&) const;
     std::vector<ServiceName> services() const;
+    /// Queued and running work of each team over all services, for the demand reports in heartbeats.
+    std::vector<TeamDemand> teamDemands() const;
     std::size_t unfinishedTasks() const;
     /// Waits until no task is unfinished; false if the deadline passed first.
     bool waitUntilIdle(TimePoint deadline) const;
--- a/libs/entry/src/AttemptResult.cpp
+++ b/libs/entry/src/AttemptResult.cpp
@@ -33,7 +33,15 @@
         return TaskOutcome::Succeeded;
     if (failure->answered)
         return outcomeOfAnswer(failure->error);
-    return failure->error.code == ErrorCode::DeadlineExceeded ? TaskOutcome::TimedOut : TaskOutcome::ConnectionFailed;
+    switch (failure->error.code) {
+    case ErrorCode::DeadlineExceeded:
+        return TaskOutcome::TimedOut;
+    case ErrorCode::ResourceExhausted:
+        // The pool's own limit of connections.
+        return TaskOutcome::RefusedFull;
+    default:
+        return TaskOutcome::ConnectionFailed;
+    }
 }
 
 bool shouldRetry(const RetryQuestion& question, RetryBudget& budget, TimePoint now)
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -43,6 +43,7 @@
 }
 
 std::vector<ServiceName> Dispatcher::services() const { return detail_->core->services(); }
+std::vector<TeamDemand> Dispatcher::teamDemands() const { return detail_->core->teamDemands(); }
 std::size_t Dispatcher::unfinishedTasks() const { return detail_->core->unfinishedTasks(); }
 bool Dispatcher::waitUntilIdle(TimePoint deadline) const { return detail_->core->waitUntilIdle(deadline); }
 void Dispatcher::stop() { detail_->core->stop(); }
--- a/libs/entry/src/DispatcherCore.h
+++ b/libs/entry/src/DispatcherCore.h
@@ -36,6 +36,7 @@
     SchedulerLoad load(const ServiceName&) const;
     std::vector<UpstreamStatus> upstreams(const ServiceName&) const;
     std::vector<ServiceName> services() const;
+    std::vector<TeamDemand> teamDemands() const;
     std::size_t unfinishedTasks() const;
     bool waitUntilIdle(TimePoint deadline) const;
 
--- a/libs/entry/src/DispatcherReport.cpp
+++ b/libs/entry/src/DispatcherReport.cpp
@@ -93,6 +93,25 @@
     return names;
 }
 
+std::vector<TeamDemand> DispatcherCore::teamDemands() const
+{
+    std::map<TeamName, TeamDemand> sums;
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [name, present] : services_) {
+            for (const auto& demand : present.scheduler.teamDemands()) {
+                auto& sum = sums.try_emplace(demand.team, TeamDemand { .team = demand.team }).first->second;
+                sum.slotsInUse += demand.slotsInUse;
+                sum.queued += demand.queued;
+            }
+        }
+    }
+    std::vector<TeamDemand> demands;
+    for (auto& [team, sum] : sums)
+        demands.push_back(std::move(sum));
+    return demands;
+}
+
 std::size_t DispatcherCore::unfinishedTasks() const
 {
     std::lock_guard lock(mutex_);
