--- a/libs/peer/include/balsammill/peer/PeerTransport.h
+++ b/libs/peer/include/balsammill/peer/PeerTransport.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace balsammill::internal {
+namespace balsammill::internal { // NOLINT(readability-identifier-naming): package of the generated code
 class PeerMessage;
 }
 
@@ -42,15 +42,22 @@
     std::uint64_t droppedVersion { 0 };
     std::uint64_t droppedReplay { 0 };
     std::uint64_t droppedOldIncarnation { 0 };
+    /// Up to 64 KiB over the limit; nng closes the connection of a larger message, which is not counted.
+    std::uint64_t droppedOversized { 0 };
+    std::uint64_t droppedReceiver { 0 };
 };
 
-/// One-way messages between entry processes over nng PUSH/PULL sockets.
+/// One-way messages between entry processes over nng PUSH/PULL sockets. Thread-safe, except for start() and stop().
+///
+/// Messages may be lost and, with more than one receiver thread, handled out of order.
 class PeerTransport {
 public:
     explicit PeerTransport(PeerTransportOptions);
     ~PeerTransport();
 
+    /// Throws std::runtime_error if it cannot listen.
     void start();
+    /// Port that the transport listens on; chosen by the system if the address names port 0.
     std::uint16_t port() const;
 
     /// Replaces the set of peers; connections to unchanged addresses stay.
--- /dev/null
+++ b/libs/peer/tests/PeerTransportTests.cpp
@@ -0,0 +1,234 @@
+#include "balsammill/peer/PeerTransport.h"
+
+#include "balsammill/base/Units.h"
+#include "balsammill/peer/EnvelopeCodec.h"
+
+#include <doctest/doctest.h>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <cstring>
+#include <mutex>
+#include <thread>
+
+using namespace Balsammill;
+using balsammill::internal::PeerMessage;
+
+namespace {
+
+constexpr std::size_t maxBytes = 1024 * 1024;
+
+bool waitUntil(const std::function<bool()>& condition)
+{
+    const auto deadline = monotonicNow() + std::chrono::seconds(20);
+    while (!condition()) {
+        if (monotonicNow() > deadline)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+PeerMessage revocation(std::uint64_t requestId)
+{
+    PeerMessage message;
+    message.mutable_revoke_task()->set_request_id(requestId);
+    return message;
+}
+
+/// A transport that stores what it receives.
+struct Node {
+    Node(const std::string& vm, std::uint64_t incarnation)
+        : transport({ .self = { VmName(vm), Incarnation(incarnation) },
+            .deployment = "test",
+            .secret = "secret",
+            .listenAddress = NetworkAddress("127.0.0.1:0"),
+            .maxMessageBytes = maxBytes,
+            .handler = [this](const ProcessId& sender, const PeerMessage& message) {
+                std::lock_guard lock(mutex);
+                received.emplace_back(sender, message.revoke_task().request_id());
+                if (message.revoke_task().request_id() == 666)
+                    throw std::runtime_error("handler failure");
+            } })
+    {
+        transport.start();
+    }
+
+    NetworkAddress address() const { return NetworkAddress("127.0.0.1:" + std::to_string(transport.port())); }
+
+    std::size_t receivedCount()
+    {
+        std::lock_guard lock(mutex);
+        return received.size();
+    }
+
+    bool sendUntilAccepted(const std::string& receiver, std::uint64_t requestId)
+    {
+        return waitUntil([&] { return transport.send(VmName(receiver), revocation(requestId)); });
+    }
+
+    std::mutex mutex;
+    std::vector<std::pair<ProcessId, std::uint64_t>> received;
+    PeerTransport transport;
+};
+
+/// Sends arbitrary bytes to a transport.
+class RawSender {
+public:
+    explicit RawSender(const NetworkAddress& address)
+    {
+        REQUIRE(nng_push0_open(&socket_) == 0);
+        REQUIRE(nng_dial(socket_, ("tcp://" + address.value).c_str(), nullptr, 0) == 0);
+    }
+    ~RawSender() { nng_close(socket_); }
+    RawSender(const RawSender&) = delete;
+    RawSender& operator=(const RawSender&) = delete;
+
+    void send(const std::string& bytes)
+    {
+        nng_msg* message = nullptr;
+        REQUIRE(nng_msg_alloc(&message, bytes.size()) == 0);
+        std::memcpy(nng_msg_body(message), bytes.data(), bytes.size());
+        REQUIRE(nng_sendmsg(socket_, message, 0) == 0);
+    }
+
+private:
+    nng_socket socket_ NNG_SOCKET_INITIALIZER;
+};
+
+std::string sealed(std::uint64_t incarnation, std::uint64_t sequence, const std::string& secret = "secret")
+{
+    const EnvelopeCodec codec({ .self = { VmName("forger"), Incarnation(incarnation) },
+        .deployment = "test",
+        .secret = secret,
+        .maxMessageBytes = maxBytes });
+    return *codec.seal(VmName("a"), sequence, revocation(sequence));
+}
+
+} // namespace
+
+// Guards against lost or duplicated messages on a working connection, in both directions.
+TEST_CASE("Two transports exchange messages")
+{
+    Node a("a", 1);
+    Node b("b", 1);
+    a.transport.setPeers({ { VmName("b"), b.address() } });
+    b.transport.setPeers({ { VmName("a"), a.address() }, { VmName("b"), b.address() } });
+    for (std::uint64_t i = 1; i <= 300; ++i) {
+        REQUIRE(a.sendUntilAccepted("b", i));
+        REQUIRE(b.sendUntilAccepted("a", i));
+    }
+    REQUIRE(waitUntil([&] { return a.receivedCount() == 300 && b.receivedCount() == 300; }));
+    CHECK(a.received.front().first == ProcessId { VmName("b"), Incarnation(1) });
+    CHECK(b.transport.counters().received == 300);
+    CHECK(b.transport.counters().receivedBytes == a.transport.counters().sentBytes);
+    CHECK_FALSE(b.transport.send(VmName("b"), revocation(1)));
+}
+
+// Guards against a "certainly not sent" that is a lie, and against a message that waits for a peer to appear.
+TEST_CASE("A message to an unknown, absent or unusable peer is refused and never delivered")
+{
+    Node a("a", 1);
+    CHECK_FALSE(a.transport.send(VmName("b"), revocation(1)));
+    std::uint16_t freePort = 0;
+    {
+        const Node vanished("b", 1);
+        freePort = vanished.transport.port();
+    }
+    a.transport.setPeers({ { VmName("b"), NetworkAddress("127.0.0.1:" + std::to_string(freePort)) },
+        { VmName("c"), NetworkAddress("not an address") }, { VmName("d"), NetworkAddress("") } });
+    for (const auto* vm : { "b", "c", "d" })
+        CHECK_FALSE(a.transport.send(VmName(vm), revocation(1)));
+    CHECK(a.transport.counters().notSent == 4);
+
+    Node b("b", 2);
+    a.transport.setPeers({ { VmName("b"), b.address() } });
+    REQUIRE(a.sendUntilAccepted("b", 2));
+    REQUIRE(waitUntil([&] { return b.receivedCount() > 0; }));
+    CHECK(b.received.front().second == 2);
+}
+
+// Guards against a peer that stays lost after a restart, and against sequence numbers that start over with the link.
+TEST_CASE("A peer that restarts on another port is reached again, and a removed one can return")
+{
+    Node a("a", 1);
+    auto b = std::make_unique<Node>("b", 1);
+    a.transport.setPeers({ { VmName("b"), b->address() } });
+    REQUIRE(a.sendUntilAccepted("b", 1));
+    REQUIRE(waitUntil([&] { return b->receivedCount() == 1; }));
+    a.transport.setPeers({});
+    CHECK_FALSE(a.transport.send(VmName("b"), revocation(2)));
+    a.transport.setPeers({ { VmName("b"), b->address() } });
+    REQUIRE(a.sendUntilAccepted("b", 3));
+    REQUIRE(waitUntil([&] { return b->receivedCount() == 2; }));
+    CHECK(b->transport.counters().droppedReplay == 0);
+
+    b = std::make_unique<Node>("b", 2);
+    a.transport.setPeers({ { VmName("b"), b->address() } });
+    REQUIRE(a.sendUntilAccepted("b", 4));
+    CHECK(waitUntil([&] { return b->receivedCount() == 1; }));
+}
+
+// Guards against a receiver that acts on, or is stopped by, what a broken or hostile sender puts on the wire.
+TEST_CASE("Garbage, forged, replayed, outdated and oversized envelopes are dropped and counted")
+{
+    Node a("a", 1);
+    RawSender raw(a.address());
+    raw.send("garbage \xff\xfe");
+    raw.send("");
+    raw.send(sealed(5, 1, "guessed secret"));
+    raw.send(sealed(5, 1));
+    REQUIRE(waitUntil([&] { return a.receivedCount() == 1; }));
+    raw.send(sealed(5, 1));
+    raw.send(sealed(4, 2));
+    raw.send(std::string(maxBytes + 1, 'x'));
+    REQUIRE(waitUntil([&] {
+        const auto counters = a.transport.counters();
+        return counters.droppedReplay == 1 && counters.droppedOldIncarnation == 1 && counters.droppedOversized == 1;
+    }));
+    const auto counters = a.transport.counters();
+    CHECK(counters.droppedMalformed == 1);
+    CHECK(counters.droppedVersion == 1);
+    CHECK(counters.droppedDigest == 1);
+    CHECK(a.receivedCount() == 1);
+
+    // Far over the limit: the connection is closed, a new one works.
+    raw.send(std::string(3 * maxBytes, 'x'));
+    RawSender next(a.address());
+    next.send(sealed(5, 2));
+    CHECK(waitUntil([&] { return a.receivedCount() == 2; }));
+}
+
+// Guards against a handler's exception that ends the receiver thread.
+TEST_CASE("A handler that throws does not stop the receivers")
+{
+    Node a("a", 1);
+    RawSender raw(a.address());
+    for (std::uint64_t sequence = 666; sequence < 670; ++sequence)
+        raw.send(sealed(5, sequence));
+    CHECK(waitUntil([&] { return a.receivedCount() == 4; }));
+}
+
+// Guards against a peer that does not read and thereby blocks the sender or grows its memory.
+TEST_CASE("A peer that does not read never blocks the sender")
+{
+    Node a("a", 1);
+    std::mutex gate;
+    std::unique_lock closed(gate);
+    PeerTransport slow({ .self = { VmName("b"), Incarnation(1) },
+        .deployment = "test",
+        .secret = "secret",
+        .listenAddress = NetworkAddress("127.0.0.1:0"),
+        .receiverThreads = 1,
+        .handler = [&gate](const ProcessId&, const PeerMessage&) { std::lock_guard wait(gate); } });
+    slow.start();
+    a.transport.setPeers({ { VmName("b"), NetworkAddress("127.0.0.1:" + std::to_string(slow.port())) } });
+    PeerMessage large;
+    large.mutable_task_done()->set_answer(std::string(64 * 1024, 'x'));
+    REQUIRE(waitUntil([&] { return a.transport.send(VmName("b"), large); }));
+    bool refused = false;
+    for (int i = 0; i < 4000 && !refused; ++i)
+        refused = !a.transport.send(VmName("b"), large);
+    CHECK(refused);
+    closed.unlock();
+}
