--- a/libs/entry/include/balsammill/entry/ConfigService.h
+++ b/libs/entry/include/balsammill/entry/ConfigService.h
@@ -44,9 +44,9 @@
     /// Compares with the table and adopts a newer version. Blocks for the platform's timeout at most.
     void refresh();
 
-    /// Accepts a change once the table holds it, and waits until it is in force on all reachable entries or the deadline
-    /// passed. With an expected version it throws RpcError (aborted, with the newer version) if another operator was
-    /// faster; without one it is repeated on the newer configuration.
+    /// Accepts a change once the table holds it, and waits until it is in force on all reachable entries or the
+    /// deadline passed. With an expected version it throws RpcError (aborted, with the newer version) if another
+    /// operator was faster; without one it is repeated on the newer configuration.
     balsammill::v1::ApplyConfigResponse change(
         const ConfigChange&, std::optional<ConfigVersion> expected, TimePoint deadline);
 
@@ -59,7 +59,8 @@
 
     std::optional<StoredConfig> readStored(Verdict verdictIfUnavailable) const;
     PrepareResult prepare(const ConfigChange&, std::optional<ConfigVersion> expected);
-    void write(const std::optional<StoredConfig>& base, const balsammill::v1::DeploymentConfig& next, TimePoint deadline);
+    void write(
+        const std::optional<StoredConfig>& base, const balsammill::v1::DeploymentConfig& next, TimePoint deadline);
     void adopt(const balsammill::v1::DeploymentConfig&);
     void publish(const std::shared_ptr<const ActiveConfig>&);
     void push(const VmName&);
--- /dev/null
+++ b/libs/membership/include/balsammill/membership/UpstreamAssignment.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "balsammill/membership/MemberView.h"
+
+#include <vector>
+
+namespace Balsammill {
+
+/// Those of the domain's upstreams that this process owns, by rendezvous hashing over the live entries of the domain.
+///
+/// A suspect entry keeps its upstreams; a dead or leaving one does not. If this process is leaving and no other entry
+/// can take over, it keeps all upstreams in order to finish its queue.
+std::vector<VmName> ownedUpstreams(const std::vector<VmName>& upstreams, const MemberView&);
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/membership/src/MemberTable.cpp
@@ -0,0 +1,166 @@
+#include "balsammill/membership/MemberTable.h"
+
+#include <algorithm>
+
+namespace Balsammill {
+
+MemberTable::MemberTable(MemberTableOptions options)
+    : options_(std::move(options))
+{
+}
+
+std::size_t MemberTable::applyList(const std::vector<ListedEntry>& rows, TimePoint now)
+{
+    std::map<VmName, ListedEntry> merged;
+    const auto ignored = mergeRows(rows, merged);
+    if (merged.empty())
+        return ignored;
+    selfLeavingByList_ = false;
+    for (const auto& [vm, row] : merged)
+        applyRow(row, now);
+    noteMissing(merged, now);
+    return ignored;
+}
+
+std::size_t MemberTable::mergeRows(const std::vector<ListedEntry>& rows, std::map<VmName, ListedEntry>& merged) const
+{
+    std::size_t ignored = 0;
+    for (const auto& row : rows) {
+        if (row.vm.empty() || row.failureDomain.empty()) {
+            ++ignored;
+            continue;
+        }
+        const auto [place, isNew] = merged.try_emplace(row.vm, row);
+        if (isNew)
+            continue;
+        // Of contradicting rows the one that agrees with the known address wins, and leaving wins over staying, because
+        // sending new work to a leaving VM is the worse mistake.
+        ++ignored;
+        const bool leaving = place->second.leaving || row.leaving;
+        const auto known = entries_.find(row.vm);
+        if (known != entries_.end() && known->second.address == row.peerAddress)
+            place->second = row;
+        place->second.leaving = leaving;
+    }
+    return ignored;
+}
+
+void MemberTable::applyRow(const ListedEntry& row, TimePoint now)
+{
+    if (row.vm == options_.self.vm) {
+        selfLeavingByList_ = row.leaving;
+        return;
+    }
+    const auto [place, isNew] = entries_.try_emplace(row.vm);
+    auto& entry = place->second;
+    if (isNew)
+        entry.heardAt = now;
+    // The process itself knows its domain from its settings; the list is only asked before the first heartbeat.
+    if (!entry.heard)
+        entry.failureDomain = row.failureDomain;
+    entry.address = row.peerAddress;
+    entry.leavingByList = row.leaving;
+    entry.listed = true;
+    entry.missingLists = 0;
+}
+
+void MemberTable::noteMissing(const std::map<VmName, ListedEntry>& listed, TimePoint now)
+{
+    for (auto& [vm, entry] : entries_) {
+        if (listed.contains(vm))
+            continue;
+        entry.listed = false;
+        ++entry.missingLists;
+    }
+    // A removed member is shown as dead for some time, so that its shards and upstreams are taken over as such.
+    const auto keepFor = 20 * options_.deadAfter;
+    std::erase_if(
+        entries_, [&](const auto& item) { return isRemoved(item.second) && now - item.second.heardAt > keepFor; });
+}
+
+bool MemberTable::applyHeartbeat(const HeartbeatNews& news, TimePoint now)
+{
+    if (news.sender.vm == options_.self.vm)
+        return false;
+    auto& entry = entries_[news.sender.vm];
+    if (news.sender.incarnation < entry.incarnation)
+        return false;
+    entry.incarnation = news.sender.incarnation;
+    entry.failureDomain = news.failureDomain;
+    entry.configVersion = news.configVersion;
+    entry.leavingByHeartbeat = news.leaving;
+    entry.loads = news.loads;
+    entry.heardAt = now;
+    entry.heard = true;
+    return true;
+}
+
+void MemberTable::setDrained(std::set<VmName> drained) { drained_ = std::move(drained); }
+
+void MemberTable::notePause(TimePoint from, TimePoint until)
+{
+    selfSuspect_ = true;
+    for (auto& [vm, entry] : entries_) {
+        if (livenessOf(entry, from) != Liveness::Dead)
+            entry.heardAt = std::max(entry.heardAt, until - options_.suspectAfter);
+    }
+}
+
+bool MemberTable::isRemoved(const Entry& entry) const
+{
+    return !entry.listed && entry.missingLists >= options_.missingListsBeforeRemoval;
+}
+
+Duration MemberTable::silenceLimit(const Entry& entry) const
+{
+    if (entry.failureDomain == options_.ownDomain)
+        return options_.deadAfter;
+    // Members of other domains address the entries of this domain in turn, so each entry hears them less often.
+    const auto ownEntries = 1 + std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
+        return item.second.failureDomain == options_.ownDomain;
+    });
+    return options_.deadAfter + 2 * options_.heartbeatInterval * ownEntries;
+}
+
+Liveness MemberTable::livenessOf(const Entry& entry, TimePoint now) const
+{
+    const auto silence = now - entry.heardAt;
+    const bool ownDomain = entry.failureDomain == options_.ownDomain;
+    const bool silent = silence >= silenceLimit(entry);
+    if (silent && (ownDomain || isRemoved(entry)))
+        return Liveness::Dead;
+    if (!ownDomain)
+        return silent || !entry.heard ? Liveness::Unreachable : Liveness::Alive;
+    return silence >= options_.suspectAfter || !entry.heard ? Liveness::Suspect : Liveness::Alive;
+}
+
+MemberView MemberTable::view(TimePoint now) const
+{
+    MemberView view { .self = options_.self,
+        .ownDomain = options_.ownDomain,
+        .members = {},
+        .selfSuspect = selfSuspect_,
+        .selfLeaving = selfLeaving_ || selfLeavingByList_ || drained_.contains(options_.self.vm) };
+    for (const auto& [vm, entry] : entries_) {
+        view.members.push_back({ .id = { vm, entry.incarnation },
+            .failureDomain = entry.failureDomain,
+            .peerAddress = entry.address,
+            .liveness = livenessOf(entry, now),
+            .leaving = entry.leavingByList || entry.leavingByHeartbeat || drained_.contains(vm),
+            .configVersion = entry.configVersion,
+            .loads = entry.loads });
+    }
+    return view;
+}
+
+std::map<VmName, NetworkAddress> MemberTable::peerAddresses() const
+{
+    std::map<VmName, NetworkAddress> addresses;
+    for (const auto& [vm, entry] : entries_) {
+        if (!entry.address.empty())
+            addresses.emplace(vm, entry.address);
+    }
+    return addresses;
+}
+
+} // namespace Balsammill
