Add the fault-injecting proxy stand-in

Tests run real processes whose links have to be slow, cut, lossy in one direction, late, or closed in the middle of a message.

--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -12,6 +12,7 @@
     app.require_subcommand(1);
     addPlatformCommand(app);
     addUpstreamCommand(app);
+    addProxyCommand(app);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
