Forward tasks to entry processes with free slots

Cause: an entry whose slots are full has to use free slots elsewhere without ever starting a task twice or calling a started one not-run.

--- /dev/null
+++ b/libs/entry/src/ForwardTargetChoice.cpp
@@ -0,0 +1,63 @@
+#include "ForwardTargetChoice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Balsammill::Detail {
+
+std::int64_t ForwardTargetChoice::roomOf(const Member& member, const ReportedLoad& load) const
+{
+    std::int64_t room = load.freeSlots.value;
+    for (const auto& sent : recent_) {
+        if (sent.vm == member.id.vm && sent.service == load.service)
+            room -= sent.slots.value;
+    }
+    return room;
+}
+
+std::vector<ProcessId> ForwardTargetChoice::candidates(
+    const MemberView& view, const ServiceName& service, Slots needed, Duration ownExpectedWait, TimePoint now)
+{
+    while (!recent_.empty() && recent_.front().at + options_.reportAge <= now)
+        recent_.pop_front();
+    struct Candidate {
+        bool otherDomain;
+        std::int64_t room;
+        ProcessId id;
+    };
+    std::vector<Candidate> found;
+    for (const auto& member : view.members) {
+        if (member.liveness != Liveness::Alive || member.leaving)
+            continue;
+        const auto load = std::find_if(member.loads.begin(), member.loads.end(),
+            [&](const ReportedLoad& reported) { return reported.service == service; });
+        if (load == member.loads.end())
+            continue;
+        const bool otherDomain = member.failureDomain != view.ownDomain;
+        if (otherDomain && ownExpectedWait - load->expectedWait <= options_.otherDomainDelay)
+            continue;
+        if (const auto room = roomOf(member, *load); room >= static_cast<std::int64_t>(std::max(needed.value, 1U)))
+            found.push_back({ otherDomain, room, member.id });
+    }
+    std::sort(found.begin(), found.end(), [](const Candidate& first, const Candidate& second) {
+        return std::tuple(first.otherDomain, -first.room, first.id)
+            < std::tuple(second.otherDomain, -second.room, second.id);
+    });
+    std::vector<ProcessId> ids;
+    for (auto& candidate : found)
+        ids.push_back(std::move(candidate.id));
+    return ids;
+}
+
+void ForwardTargetChoice::noteSent(
+    RequestId id, const VmName& vm, const ServiceName& service, Slots slots, TimePoint now)
+{
+    recent_.push_back({ id, now, vm, service, Slots(std::max(slots.value, 1U)) });
+}
+
+void ForwardTargetChoice::noteEnded(RequestId id)
+{
+    std::erase_if(recent_, [&](const Sent& sent) { return sent.id == id; });
+}
+
+} // namespace Balsammill::Detail
