--- a/libs/observe/include/balsammill/observe/ClockOffset.h
+++ b/libs/observe/include/balsammill/observe/ClockOffset.h
@@ -27,8 +27,8 @@
 
 /// Estimates the offset of a peer's wall clock from echoed heartbeats. Not thread-safe; holds no clock.
 ///
-/// The sample with the shortest round trip among the latest ones decides, because delays on the way are what falsifies a
-/// sample.
+/// The sample with the shortest round trip among the latest ones decides, because delays on the way are what falsifies
+/// a sample.
 class ClockOffset {
 public:
     /// Ignores samples without an echo and those whose round trip is negative, as after a clock was set.
