--- a/libs/jobs/src/ShardRole.cpp
+++ b/libs/jobs/src/ShardRole.cpp
@@ -61,6 +61,8 @@
         confirmedAt_ = time.now;
         readNeeded_ = false;
         stale_ = false;
+        if (unresolvedWrite_ || superseded())
+            nextTableRequestAt_ = time.now + options_.retryDelay;
         return;
     }
     if (std::holds_alternative<RecordMissing>(result) && !record_) {
--- a/libs/jobs/src/ShardRoleDecisions.cpp
+++ b/libs/jobs/src/ShardRoleDecisions.cpp
@@ -48,8 +48,11 @@
         vacantSince_ = now;
     if (now >= confirmedAt_ + options_.confirmInterval)
         readNeeded_ = true;
-    // A shard without primary changes hands soon; requests that arrive here need its next one.
-    if (!holder && primaryLost && now >= confirmedAt_ + options_.retryDelay)
+    // In these states the record changes soon: this process becomes the backup, is released before it leaves, or has to
+    // find the shard's next primary.
+    const bool changesSoon
+        = (staged_ && staged_->first > epoch()) || (holder && peers.selfLeaving()) || (!holder && primaryLost);
+    if (changesSoon && now >= confirmedAt_ + options_.retryDelay)
         readNeeded_ = true;
 }
 
--- a/libs/jobs/tests/LedgerWorld.cpp
+++ b/libs/jobs/tests/LedgerWorld.cpp
@@ -92,34 +92,46 @@
     const auto found = table_.find(read.shard.value);
     if (found != table_.end())
         result = RecordFound { found->second.record, found->second.tag };
-    if (fault == TableFault::Unreadable || fault == TableFault::NotSent)
+    if (fault == TableFault::NotSent)
         result = RecordUnreadable {};
     apply(node, nodes[node].ledger->recordRead(read.shard, result, time));
 }
 
-void LedgerWorld::serve(std::size_t node, const WriteRecord& write)
+bool LedgerWorld::writeIfCurrent(const WriteRecord& write)
 {
-    RecordWrite result = RecordInDoubt {};
     const auto found = table_.find(write.shard.value);
     const auto current = found == table_.end() ? std::nullopt : std::optional(found->second.tag);
-    if (fault == TableFault::NotSent || fault == TableFault::Unreadable) {
+    if (current != write.expectedTag)
+        return false;
+    const auto parsed = parseShardRecord(formatShardRecord(write.record));
+    REQUIRE(parsed == write.record);
+    table_[write.shard.value] = { *parsed, "tag-" + std::to_string(nextTag_++) };
+    history.push_back(*parsed);
+    return true;
+}
+
+void LedgerWorld::serve(std::size_t node, const WriteRecord& write)
+{
+    RecordWrite result = RecordInDoubt {};
+    if (fault == TableFault::NotSent)
         result = RecordNotSent {};
-    } else if (fault != TableFault::RequestLost) {
-        if (current == write.expectedTag) {
-            const auto parsed = parseShardRecord(formatShardRecord(write.record));
-            REQUIRE(parsed == write.record);
-            table_[write.shard.value] = { *parsed, "tag-" + std::to_string(nextTag_++) };
-            ++tableWrites;
-            result = RecordWritten { table_[write.shard.value].tag };
-        } else {
-            result = RecordConflict {};
-        }
-        if (fault == TableFault::AnswerLost)
-            result = RecordInDoubt {};
-    }
+    else if (fault == TableFault::Late)
+        lateWrites_.push_back(write);
+    else if (fault == TableFault::AnswerLost)
+        writeIfCurrent(write);
+    else if (fault == TableFault::None && writeIfCurrent(write))
+        result = RecordWritten { table_[write.shard.value].tag };
+    else if (fault == TableFault::None)
+        result = RecordConflict {};
     apply(node, nodes[node].ledger->recordWritten(write.shard, result, time));
 }
 
+void LedgerWorld::applyLateWrites()
+{
+    for (const auto& write : std::exchange(lateWrites_, {}))
+        writeIfCurrent(write);
+}
+
 void LedgerWorld::serveTable(std::size_t node)
 {
     auto& requests = nodes[node].tableRequests;
@@ -141,6 +153,33 @@
     return !(target.running && target.paused);
 }
 
+bool LedgerWorld::isCut(const SentMessage& sent) const
+{
+    return cuts_.contains({ nodeOf(sent.from), nodeOf(sent.to) });
+}
+
+void LedgerWorld::partition(std::size_t first, std::size_t second, bool cut)
+{
+    for (const auto& [from, to] : { std::pair(first, second), std::pair(second, first) }) {
+        const auto vm = nodes[to].id.vm.value;
+        if (cut) {
+            cuts_.emplace(from, to);
+            nodes[from].seen[vm] = Liveness::Dead;
+        } else {
+            cuts_.erase({ from, to });
+            nodes[from].seen.erase(vm);
+        }
+    }
+    publishViews();
+}
+
+void LedgerWorld::settlePair()
+{
+    REQUIRE(runUntil([this] { return primary() && backup(); }));
+    // Past the time after a start in which no holder is judged lost.
+    run(std::chrono::seconds(2));
+}
+
 bool LedgerWorld::deliverOne(std::size_t position)
 {
     if (position >= messages.size() || !deliverable(messages[position]))
@@ -148,7 +187,7 @@
     const auto sent = messages[position];
     messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(position));
     const auto target = nodeOf(sent.to);
-    if (!nodes[target].running || (dropped && dropped(sent)))
+    if (!nodes[target].running || isCut(sent) || (dropped && dropped(sent)))
         return true;
     apply(target, nodes[target].ledger->peerMessage(sent.from, sent.message, time));
     return true;
--- a/libs/jobs/tests/LedgerWorld.h
+++ b/libs/jobs/tests/LedgerWorld.h
@@ -21,7 +21,8 @@
     AnswerLost,
     /// The write is lost together with its answer.
     RequestLost,
-    Unreadable,
+    /// The answer is lost and the write takes effect only in applyLateWrites().
+    Late,
 };
 
 struct SentMessage {
@@ -58,6 +59,7 @@
     void deliverAll();
     bool deliverOne(std::size_t position);
     void serveTable(std::size_t node);
+    void applyLateWrites();
     void tickNode(std::size_t node);
 
     RequestId submit(std::size_t node, const std::string& id, const std::string& content = "x");
@@ -72,6 +74,11 @@
     void pause(std::size_t node);
     void resume(std::size_t node);
 
+    /// Waits until the shard has a primary and a backup.
+    void settlePair();
+    /// Cuts or restores the connection between two nodes, and with it their view of each other.
+    void partition(std::size_t first, std::size_t second, bool cut);
+
     /// Node that is the confirmed primary of the (only) shard.
     std::optional<std::size_t> primary() const;
     std::optional<std::size_t> backup() const;
@@ -98,22 +105,27 @@
     std::function<bool(const SentMessage&)> held;
     bool autoComplete { true };
     LedgerTime time { TimePoint(std::chrono::hours(1)), 1'800'000'000'000 };
-    std::size_t tableWrites { 0 };
+    /// Every record that the table held, in order.
+    std::vector<ShardRecord> history;
 
 private:
     void apply(std::size_t node, JobActions);
     void serve(std::size_t node, const ReadRecord&);
     void serve(std::size_t node, const WriteRecord&);
+    bool writeIfCurrent(const WriteRecord&);
     void create(std::size_t node);
     MemberView viewOf(std::size_t node) const;
     bool deliverable(const SentMessage&) const;
+    bool isCut(const SentMessage&) const;
 
     std::function<void(JobLedgerOptions&)> adjust_;
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
     struct Stored {
         ShardRecord record;
         std::string tag;
     };
     std::map<std::uint32_t, Stored> table_;
+    std::vector<WriteRecord> lateWrites_;
     std::uint64_t nextTag_ { 1 };
     std::uint64_t nextWaiter_ { 1 };
     std::vector<std::pair<std::size_t, std::string>> toComplete_;
