Put the serving process together: calls and jobs from end to end

Cause: the modules existed, but no process served with them. Change: EntryServer wires the modules, ControlLoop feeds them with the VM list, heartbeats and the configuration. Command line with serve, check, call, submit, operator and timeline. Integration tests with real processes and a randomized fault run with its own checker. Upstreams are now distributed in equal shares: with two upstreams and two entries, plain rendezvous hashing left one entry without any, and a job of 20 tasks failed with 'no upstream' in ServingPathTests. Readiness waits until the other entries were heard of: the quickstart's first job was refused as unreachable.

--- /dev/null
+++ b/apps/balsammill/CheckCommand.cpp
@@ -0,0 +1,54 @@
+#include "Commands.h"
+#include "DeploymentFile.h"
+#include "EntryFlags.h"
+
+#include "balsammill/config/ConfigStore.h"
+#include "balsammill/v1/config.pb.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+#include <memory>
+
+namespace Balsammill {
+
+namespace {
+
+struct CheckFlags {
+    std::string config;
+    std::string schemaRoot { "." };
+    bool settings { false };
+    EntryFlags entry;
+};
+
+int check(const CheckFlags& flags)
+{
+    if (flags.config.empty() && !flags.settings)
+        throw SettingsError("nothing to check: give --config, --settings or both");
+    if (!flags.config.empty()) {
+        // Prepared as the first version, as an entry would do on "operator apply".
+        ConfigStore().prepare(
+            ReplaceConfig { readDeploymentFile(flags.config, flags.schemaRoot) }, ConfigVersion(0), "check");
+        std::cout << "configuration " << flags.config << ": ok\n";
+    }
+    if (flags.settings) {
+        flags.entry.toOptions();
+        std::cout << "settings: ok\n";
+    }
+    return 0;
+}
+
+} // namespace
+
+void addCheckCommand(CLI::App& app, CommandAction& action)
+{
+    auto* command = app.add_subcommand("check", "Validates a configuration, or the settings of an entry process");
+    auto flags = std::make_shared<CheckFlags>();
+    command->add_option("--config", flags->config, "Declaration of the deployment (JSON)");
+    command->add_option("--schema-root", flags->schemaRoot, "Folder of the schema files")->capture_default_str();
+    command->add_flag("--settings", flags->settings, "Check the flags and environment variables of serve");
+    flags->entry.addTo(*command);
+    command->callback([flags, &action] { action = [flags] { return check(*flags); }; });
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/apps/balsammill/ServeCommand.cpp
@@ -0,0 +1,55 @@
+#include "Commands.h"
+#include "EntryFlags.h"
+
+#include "balsammill/entry/EntryServer.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+namespace Balsammill {
+
+namespace {
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+int serve(const EntryOptions& options)
+{
+    // Blocked before any thread starts, so that only sigwait() below receives the signals.
+    const auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    configureLogging(options.vm.value, options.logLevel);
+
+    EntryServer server(options);
+    const auto ports = server.start();
+    // The one line on standard output tells whoever started the process which ports the system chose.
+    std::cout << R"({"ready":true,"listen":)" << ports.caller << R"(,"operator":)" << ports.operators << R"(,"peer":)"
+              << ports.peer << "}" << std::endl;
+
+    int received = 0;
+    sigwait(&signals, &received);
+    logInfo(LogPart::Main, "signal " + std::to_string(received) + " received, shutting down");
+    return server.shutDown() ? 0 : 2;
+}
+
+} // namespace
+
+void addServeCommand(CLI::App& app, CommandAction& action)
+{
+    auto* command = app.add_subcommand("serve", "Runs an entry process");
+    auto flags = std::make_shared<EntryFlags>();
+    flags->addTo(*command);
+    command->callback([flags, &action] { action = [flags] { return serve(flags->toOptions()); }; });
+}
+
+} // namespace Balsammill
--- a/libs/entry/include/balsammill/entry/RequestPath.h
+++ b/libs/entry/include/balsammill/entry/RequestPath.h
@@ -2,15 +2,12 @@
 
 #include "balsammill/base/RcuCell.h"
 #include "balsammill/config/ActiveConfig.h"
+#include "balsammill/membership/MemberView.h"
 #include "balsammill/rpc/RpcMessages.h"
 
 #include <atomic>
 #include <string>
 
-namespace balsammill::v1 {
-class ServiceConfig;
-}
-
 namespace Balsammill {
 
 class Dispatcher;
@@ -21,6 +18,7 @@
 
 struct RequestPathOptions {
     const RcuCell<ActiveConfig>& config;
+    const RcuCell<MemberView>& members;
     Dispatcher& dispatcher;
     JobService& jobs;
     Timeline& timeline;
--- /dev/null
+++ b/libs/entry/src/ControlLoop.cpp
@@ -0,0 +1,333 @@
+#include "ControlLoop.h"
+
+#include "balsammill/base/Log.h"
+#include "balsammill/entry/ConfigService.h"
+#include "balsammill/entry/Dispatcher.h"
+#include "balsammill/entry/JobService.h"
+#include "balsammill/entry/TaskForwarding.h"
+#include "balsammill/internal/peer.pb.h"
+#include "balsammill/membership/UpstreamAssignment.h"
+#include "balsammill/observe/Metrics.h"
+#include "balsammill/observe/Timeline.h"
+#include "balsammill/peer/PeerTransport.h"
+#include "balsammill/v1/config.pb.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace Balsammill {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(50);
+// A leaving VM has to lose its work within 3 s of the list saying so; one second leaves room for a slow answer.
+constexpr Duration listInterval = std::chrono::seconds(1);
+// As long as a silent member of the own domain counts as possibly alive.
+constexpr Duration settlingTime = std::chrono::milliseconds(1500);
+
+// Heartbeats that waited in a socket while this process was paused tell nothing about the present.
+constexpr Duration staleAfterPause = std::chrono::milliseconds(600);
+
+std::string describe(const Member& member)
+{
+    static constexpr std::array names { "alive", "suspect", "dead", "unreachable" };
+    return std::string(names.at(static_cast<std::size_t>(member.liveness))) + (member.leaving ? ", leaving" : "");
+}
+
+const Member* find(const MemberView& view, const VmName& vm)
+{
+    const auto found = std::find_if(
+        view.members.begin(), view.members.end(), [&](const Member& member) { return member.id.vm == vm; });
+    return found == view.members.end() ? nullptr : &*found;
+}
+
+bool sameStanding(const Member& left, const Member& right)
+{
+    return left.id == right.id && left.liveness == right.liveness && left.leaving == right.leaving
+        && left.peerAddress == right.peerAddress;
+}
+
+bool sameStanding(const MemberView& left, const MemberView& right)
+{
+    return left.selfSuspect == right.selfSuspect && left.selfLeaving == right.selfLeaving
+        && std::equal(left.members.begin(), left.members.end(), right.members.begin(), right.members.end(),
+            [](const Member& a, const Member& b) { return sameStanding(a, b); });
+}
+
+std::set<VmName> drainedVms(const ConfigService& config)
+{
+    std::set<VmName> drained;
+    if (const auto active = config.active().load()) {
+        for (const auto& vm : active->content->drained_vms())
+            drained.insert(VmName(vm));
+    }
+    return drained;
+}
+
+} // namespace
+
+ControlLoop::ControlLoop(ControlLoopOptions options)
+    : options_(options)
+    , table_({ .self = options.self, .ownDomain = options.settings.failureDomain })
+{
+}
+
+ControlLoop::~ControlLoop() { stop(); }
+
+void ControlLoop::start()
+{
+    tickThread_ = std::thread([this] { runTicks(); });
+    platformThread_ = std::thread([this] { runPlatformPolling(); });
+}
+
+void ControlLoop::stop()
+{
+    {
+        std::lock_guard lock(stopMutex_);
+        stopping_ = true;
+    }
+    stopCondition_.notify_all();
+    for (auto* thread : { &tickThread_, &platformThread_ }) {
+        if (thread->joinable())
+            thread->join();
+    }
+}
+
+bool ControlLoop::waitOrStop(Duration duration)
+{
+    std::unique_lock lock(stopMutex_);
+    return stopCondition_.wait_for(lock, duration, [this] { return stopping_; });
+}
+
+void ControlLoop::setLeaving() { leaving_ = true; }
+
+void ControlLoop::configChanged()
+{
+    std::lock_guard lock(mutex_);
+    table_.setDrained(drainedVms(options_.config));
+    assignmentDue_ = true;
+}
+
+void ControlLoop::runTicks()
+{
+    while (!waitOrStop(tickInterval))
+        tick(monotonicNow());
+}
+
+void ControlLoop::runPlatformPolling()
+{
+    do {
+        const auto begin = monotonicNow();
+        options_.config.refresh();
+        auto result = options_.platform.listVms();
+        if (auto* vms = std::get_if<std::vector<ListedVm>>(&result))
+            applyList(std::move(*vms), begin);
+    } while (!waitOrStop(listInterval));
+}
+
+void ControlLoop::applyList(std::vector<ListedVm> vms, TimePoint requestedAt)
+{
+    std::vector<ListedEntry> entries;
+    std::vector<ListedVm> upstreams;
+    for (auto& vm : vms) {
+        if (vm.role == VmRole::Entry)
+            entries.push_back({ vm.name, vm.failureDomain, vm.address, vm.leaving });
+        else if (vm.failureDomain == options_.settings.failureDomain)
+            upstreams.push_back(std::move(vm));
+    }
+    std::lock_guard lock(mutex_);
+    // An empty list is a fault of the platform: it would at least have to contain this process.
+    if (entries.empty())
+        return;
+    table_.applyList(entries, monotonicNow());
+    upstreams_ = std::move(upstreams);
+    if (!settledAt_)
+        settledAt_ = monotonicNow() + settlingTime;
+    assignmentDue_ = true;
+    if (pausedUntil_ && requestedAt > *pausedUntil_) {
+        pausedUntil_.reset();
+        table_.confirmSelf();
+    }
+}
+
+void ControlLoop::tick(TimePoint now)
+{
+    notePause(now);
+    connectPeers();
+    const bool changed = publishView(now);
+    const auto view = options_.members.load();
+    if (changed)
+        options_.jobs.membersChanged();
+    options_.jobs.tick(now);
+    options_.forwarding.tick(now);
+    sendHeartbeats(*view, now);
+    assignUpstreams(*view);
+    updateReadiness(*view, now);
+}
+
+void ControlLoop::notePause(TimePoint now)
+{
+    const auto pause = pauseDetector_.tick(now);
+    if (!pause)
+        return;
+    const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(pause->until - pause->from);
+    logWarning(LogPart::Membership, "this process was paused for " + std::to_string(length.count()) + " ms");
+    std::lock_guard lock(mutex_);
+    table_.notePause(pause->from, pause->until);
+    pausedUntil_ = now;
+}
+
+bool ControlLoop::publishView(TimePoint now)
+{
+    const auto previous = options_.members.load();
+    std::shared_ptr<const MemberView> next;
+    {
+        std::lock_guard lock(mutex_);
+        table_.setSelfLeaving(leaving_.load());
+        next = std::make_shared<const MemberView>(table_.view(now));
+    }
+    options_.members.store(next);
+    if (sameStanding(*previous, *next))
+        return false;
+    reportChanges(*previous, *next);
+    std::lock_guard lock(mutex_);
+    assignmentDue_ = true;
+    return true;
+}
+
+void ControlLoop::reportChanges(const MemberView& previous, const MemberView& next) const
+{
+    for (const auto& member : next.members) {
+        const auto* before = find(previous, member.id.vm);
+        if (before && sameStanding(*before, member))
+            continue;
+        logInfo(LogPart::Membership, member.id.vm.value + " is " + describe(member));
+        options_.timeline.record(EventKind::Membership, member.id.vm.value, describe(member));
+    }
+    for (const auto& member : previous.members) {
+        if (!find(next, member.id.vm))
+            logInfo(LogPart::Membership, member.id.vm.value + " is no longer listed");
+    }
+}
+
+void ControlLoop::connectPeers()
+{
+    std::map<VmName, NetworkAddress> addresses;
+    {
+        std::lock_guard lock(mutex_);
+        addresses = table_.peerAddresses();
+    }
+    for (auto& [vm, address] : addresses) {
+        const auto replacement = options_.settings.peerOverrides.find(vm);
+        if (replacement != options_.settings.peerOverrides.end())
+            address = replacement->second;
+    }
+    options_.transport.setPeers(addresses);
+}
+
+void ControlLoop::sendHeartbeats(const MemberView& view, TimePoint now)
+{
+    const auto receivers = schedule_.due(view, now);
+    if (receivers.empty())
+        return;
+    const auto message = makeHeartbeat(view.selfLeaving);
+    for (const auto& receiver : receivers)
+        options_.transport.send(receiver, message);
+}
+
+balsammill::internal::PeerMessage ControlLoop::makeHeartbeat(bool leaving) const
+{
+    balsammill::internal::PeerMessage message;
+    auto& heartbeat = *message.mutable_heartbeat();
+    heartbeat.set_failure_domain(options_.settings.failureDomain.value);
+    heartbeat.set_config_version(options_.config.version().value);
+    heartbeat.set_leaving(leaving);
+    for (const auto& service : options_.dispatcher.services()) {
+        const auto load = options_.dispatcher.load(service);
+        auto& row = *heartbeat.add_loads();
+        row.set_service(service.value);
+        row.set_free_slots(load.freeSlots);
+        row.set_total_slots(load.totalSlots);
+        row.set_expected_wait_ms(static_cast<std::uint32_t>(load.expectedWait.count() / 1000));
+    }
+    return message;
+}
+
+void ControlLoop::handleHeartbeat(const ProcessId& sender, const balsammill::internal::Heartbeat& heartbeat)
+{
+    HeartbeatNews news { .sender = sender,
+        .failureDomain = FailureDomain(heartbeat.failure_domain()),
+        .configVersion = ConfigVersion(heartbeat.config_version()),
+        .leaving = heartbeat.leaving(),
+        .loads = {} };
+    for (const auto& load : heartbeat.loads()) {
+        news.loads.push_back({ .service = ServiceName(load.service()),
+            .freeSlots = Slots(load.free_slots()),
+            .totalSlots = Slots(load.total_slots()),
+            .expectedWait = std::chrono::milliseconds(load.expected_wait_ms()) });
+    }
+    {
+        std::lock_guard lock(mutex_);
+        const auto now = monotonicNow();
+        if (!table_.applyHeartbeat(news, now))
+            return;
+        if (pausedUntil_ && now > *pausedUntil_ + staleAfterPause) {
+            pausedUntil_.reset();
+            table_.confirmSelf();
+        }
+    }
+    options_.config.observeVersion(sender.vm, news.configVersion);
+}
+
+void ControlLoop::assignUpstreams(const MemberView& view)
+{
+    std::vector<ListedVm> upstreams;
+    {
+        std::lock_guard lock(mutex_);
+        if (!settledAt_ || !std::exchange(assignmentDue_, false))
+            return;
+        upstreams = upstreams_;
+    }
+    const auto active = options_.config.active().load();
+    if (!active)
+        return;
+    const auto drained = drainedVms(options_.config);
+    std::vector<VmName> names;
+    for (const auto& upstream : upstreams)
+        names.push_back(upstream.name);
+    const auto owned = options_.settings.placement == Placement::Owned ? ownedUpstreams(names, view) : names;
+    const std::set<VmName> ownedNames(owned.begin(), owned.end());
+
+    std::map<TeamName, std::uint32_t> weights;
+    for (const auto& team : active->content->teams())
+        weights[TeamName(team.name())] = std::max(1U, team.quota_weight());
+    options_.dispatcher.setTeamWeights(weights);
+    for (const auto& service : active->content->services()) {
+        std::vector<ReachableUpstream> assigned;
+        for (const auto& upstream : upstreams) {
+            if (upstream.label != service.upstream_label() || !ownedNames.contains(upstream.name))
+                continue;
+            const auto slots = service.slots_per_upstream() ? Slots(service.slots_per_upstream()) : upstream.slots;
+            const bool leaving = upstream.leaving || drained.contains(upstream.name);
+            assigned.push_back(
+                { .spec = { .vm = upstream.name, .slots = slots, .leaving = leaving }, .address = upstream.address });
+        }
+        options_.dispatcher.setUpstreams(ServiceName(service.name()), assigned);
+    }
+    assigned_ = true;
+}
+
+// A process that has just started has heard nobody yet, and would answer jobs of other domains as unreachable.
+void ControlLoop::updateReadiness(const MemberView& view, TimePoint now)
+{
+    if (ready_ || !assigned_)
+        return;
+    const bool allHeard = std::all_of(view.members.begin(), view.members.end(),
+        [](const Member& member) { return member.liveness == Liveness::Alive; });
+    std::lock_guard lock(mutex_);
+    ready_ = allHeard || now >= *settledAt_;
+}
+
+} // namespace Balsammill
--- a/libs/entry/src/ForwardTargetChoice.cpp
+++ b/libs/entry/src/ForwardTargetChoice.cpp
@@ -16,13 +16,14 @@
 }
 
 std::vector<ProcessId> ForwardTargetChoice::candidates(
-    const MemberView& view, const ServiceName& service, Slots needed, Duration ownExpectedWait, TimePoint now)
+    const MemberView& view, const ServiceName& service, Slots needed, const OwnQueue& own, TimePoint now)
 {
     while (!recent_.empty() && recent_.front().at + options_.reportAge <= now)
         recent_.pop_front();
     struct Candidate {
         bool otherDomain;
         std::int64_t room;
+        Duration wait;
         ProcessId id;
     };
     std::vector<Candidate> found;
@@ -34,14 +35,18 @@
         if (load == member.loads.end())
             continue;
         const bool otherDomain = member.failureDomain != view.ownDomain;
-        if (otherDomain && ownExpectedWait - load->expectedWait <= options_.otherDomainDelay)
+        const bool mayStartHere = own.totalSlots > Slots(0);
+        if (load->totalSlots == Slots(0)
+            || (mayStartHere && otherDomain && own.expectedWait - load->expectedWait <= options_.otherDomainDelay))
             continue;
-        if (const auto room = roomOf(member, *load); room >= static_cast<std::int64_t>(std::max(needed.value, 1U)))
-            found.push_back({ otherDomain, room, member.id });
+        const auto room = roomOf(member, *load);
+        const bool hasRoom = room >= static_cast<std::int64_t>(std::max(needed.value, 1U));
+        if (hasRoom || !mayStartHere)
+            found.push_back({ otherDomain, hasRoom ? room : 0, load->expectedWait, member.id });
     }
     std::sort(found.begin(), found.end(), [](const Candidate& first, const Candidate& second) {
-        return std::tuple(first.otherDomain, -first.room, first.id)
-            < std::tuple(second.otherDomain, -second.room, second.id);
+        return std::tuple(first.otherDomain, -first.room, first.wait, first.id)
+            < std::tuple(second.otherDomain, -second.room, second.wait, second.id);
     });
     std::vector<ProcessId> ids;
     for (auto& candidate : found)
--- a/libs/entry/src/ForwardTargetChoice.h
+++ b/libs/entry/src/ForwardTargetChoice.h
@@ -14,6 +14,12 @@
     Duration reportAge { std::chrono::milliseconds(250) };
 };
 
+/// The sender's own queue of the service.
+struct OwnQueue {
+    Slots totalSlots;
+    Duration expectedWait {};
+};
+
 /// Chooses the receivers for a task that has to wait here. Not thread-safe; holds no clock.
 class ForwardTargetChoice {
 public:
@@ -23,9 +29,10 @@
     }
 
     /// Members with room, best first: of the own domain, most free slots first; then of other domains if their delay is
-    /// less than the wait that they save.
+    /// less than the wait that they save. A process without slots of its own also gets members without room, least wait
+    /// first, because the task could never start here.
     std::vector<ProcessId> candidates(
-        const MemberView&, const ServiceName&, Slots needed, Duration ownExpectedWait, TimePoint now);
+        const MemberView&, const ServiceName&, Slots needed, const OwnQueue&, TimePoint now);
     void noteSent(RequestId, const VmName&, const ServiceName&, Slots, TimePoint now);
     /// The task ended or was not sent, so its slots are free again.
     void noteEnded(RequestId);
--- a/libs/entry/src/RequestPath.cpp
+++ b/libs/entry/src/RequestPath.cpp
@@ -94,6 +94,8 @@
     try {
         if (!config)
             refuse(ErrorCode::Unavailable, "no configuration is in force yet");
+        if (options_.members.load()->selfLeaving)
+            refuse(ErrorCode::Unavailable, "this entry is leaving; use another one");
         if (request.method.value.starts_with(jobsServicePrefix))
             return handleJobCall(request, *config);
         auto task = checkServiceCall(request, *config, callId);
--- a/libs/entry/src/TaskForwarding.cpp
+++ b/libs/entry/src/TaskForwarding.cpp
@@ -288,11 +288,12 @@
     const auto now = monotonicNow();
     if (!view || !task.mayForward || remainingMs(task.deadline, now) == 0)
         return false;
-    const auto ownWait = detail_->dispatcher.load(task.service).expectedWait;
+    const auto load = detail_->dispatcher.load(task.service);
+    const Balsammill::Detail::OwnQueue own { .totalSlots = Slots(load.totalSlots), .expectedWait = load.expectedWait };
     std::vector<ProcessId> receivers;
     {
         std::lock_guard lock(detail_->mutex);
-        receivers = detail_->targets.candidates(*view, task.service, task.slots, ownWait, now);
+        receivers = detail_->targets.candidates(*view, task.service, task.slots, own, now);
     }
     for (const auto& receiver : receivers) {
         bool ended = false;
--- a/libs/entry/tests/ForwardTableTests.cpp
+++ b/libs/entry/tests/ForwardTableTests.cpp
@@ -178,17 +178,37 @@
     const auto view = viewOf({ memberOf(near, Liveness::Alive, 1), memberOf(nearFree, Liveness::Alive, 2), leaving,
         memberOf({ VmName("suspect"), Incarnation(1) }, Liveness::Suspect),
         memberOf({ VmName("full"), Incarnation(1) }, Liveness::Alive, 0), memberOf(far, Liveness::Alive, 8, "far") });
+    const auto ownQueue = [](int waitMs) { return OwnQueue { Slots(8), milliseconds(waitMs) }; };
     ForwardTargetChoice choice({ .otherDomainDelay = milliseconds(4) });
-    CHECK(choice.candidates(view, service, Slots(1), milliseconds(4), start) == std::vector { nearFree, near });
-    CHECK(choice.candidates(view, service, Slots(1), milliseconds(5), start) == std::vector { nearFree, near, far });
-    CHECK(choice.candidates(view, service, Slots(2), milliseconds(4), start) == std::vector { nearFree });
-    CHECK(choice.candidates(view, ServiceName("other"), Slots(1), milliseconds(5), start).empty());
+    CHECK(choice.candidates(view, service, Slots(1), ownQueue(4), start) == std::vector { nearFree, near });
+    CHECK(choice.candidates(view, service, Slots(1), ownQueue(5), start) == std::vector { nearFree, near, far });
+    CHECK(choice.candidates(view, service, Slots(2), ownQueue(4), start) == std::vector { nearFree });
+    CHECK(choice.candidates(view, ServiceName("other"), Slots(1), ownQueue(5), start).empty());
 
     // Until the next report, slots that were given away count as taken.
     choice.noteSent(RequestId(1), nearFree.vm, service, Slots(2), start);
-    CHECK(choice.candidates(view, service, Slots(1), milliseconds(4), start) == std::vector { near });
-    CHECK(choice.candidates(view, service, Slots(1), milliseconds(4), start + milliseconds(250)).size() == 2);
+    CHECK(choice.candidates(view, service, Slots(1), ownQueue(4), start) == std::vector { near });
+    CHECK(choice.candidates(view, service, Slots(1), ownQueue(4), start + milliseconds(250)).size() == 2);
     choice.noteSent(RequestId(2), nearFree.vm, service, Slots(2), start + milliseconds(250));
     choice.noteEnded(RequestId(2));
-    CHECK(choice.candidates(view, service, Slots(1), milliseconds(4), start + milliseconds(250)).size() == 2);
+    CHECK(choice.candidates(view, service, Slots(1), ownQueue(4), start + milliseconds(250)).size() == 2);
+}
+
+// Guards against a task that is refused because its entry owns no upstream while the others are only busy.
+TEST_CASE("An entry without upstreams forwards to busy members, least wait first")
+{
+    const ServiceName service("s");
+    auto longWait = memberOf({ VmName("long"), Incarnation(1) }, Liveness::Alive, 0);
+    auto shortWait = memberOf({ VmName("short"), Incarnation(1) }, Liveness::Alive, 0);
+    auto withoutUpstreams = memberOf({ VmName("none"), Incarnation(1) }, Liveness::Alive, 0);
+    longWait.loads.front().totalSlots = Slots(8);
+    longWait.loads.front().expectedWait = milliseconds(50);
+    shortWait.loads.front().totalSlots = Slots(8);
+    shortWait.loads.front().expectedWait = milliseconds(10);
+    withoutUpstreams.loads.front().totalSlots = Slots(0);
+    const auto view = viewOf({ longWait, shortWait, withoutUpstreams });
+    ForwardTargetChoice choice({ .otherDomainDelay = milliseconds(4) });
+    CHECK(choice.candidates(view, service, Slots(1), OwnQueue { Slots(0), {} }, start)
+        == std::vector { shortWait.id, longWait.id });
+    CHECK(choice.candidates(view, service, Slots(1), OwnQueue { Slots(8), milliseconds(90) }, start).empty());
 }
--- a/libs/membership/src/UpstreamAssignment.cpp
+++ b/libs/membership/src/UpstreamAssignment.cpp
@@ -3,42 +3,108 @@
 #include "RendezvousHash.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
 
 namespace Balsammill {
 
 namespace {
 
-std::vector<VmName> candidateOwners(const MemberView& view)
+struct Owners {
+    /// All entries of the domain that are listed, whether they live or not.
+    std::vector<VmName> listed;
+    /// Those that can own upstreams now.
+    std::vector<VmName> live;
+};
+
+Owners candidateOwners(const MemberView& view)
 {
-    std::vector<VmName> owners;
+    Owners owners { .listed = { view.self.vm }, .live = {} };
     for (const auto& member : view.members) {
-        const bool live = member.liveness == Liveness::Alive || member.liveness == Liveness::Suspect;
-        if (live && !member.leaving && member.failureDomain == view.ownDomain)
-            owners.push_back(member.id.vm);
+        if (member.failureDomain != view.ownDomain)
+            continue;
+        owners.listed.push_back(member.id.vm);
+        const bool isLive = member.liveness == Liveness::Alive || member.liveness == Liveness::Suspect;
+        if (isLive && !member.leaving)
+            owners.live.push_back(member.id.vm);
     }
-    if (!view.selfLeaving || owners.empty())
-        owners.push_back(view.self.vm);
+    if (!view.selfLeaving || owners.live.empty())
+        owners.live.push_back(view.self.vm);
     return owners;
 }
 
-VmName ownerOf(const VmName& upstream, const std::vector<VmName>& owners)
+struct Pairing {
+    std::uint64_t weight;
+    const VmName* upstream;
+    const VmName* owner;
+};
+
+// The names decide between equal weights, so that every process finds the same order.
+bool isHeavier(const Pairing& left, const Pairing& right)
+{
+    return std::tie(left.weight, *left.upstream, *left.owner) > std::tie(right.weight, *right.upstream, *right.owner);
+}
+
+std::vector<Pairing> pairingsByWeight(const std::vector<VmName>& upstreams, const std::vector<VmName>& owners)
+{
+    std::vector<Pairing> pairings;
+    for (const auto& upstream : upstreams) {
+        for (const auto& owner : owners)
+            pairings.push_back({ Detail::rendezvousHash(upstream, owner), &upstream, &owner });
+    }
+    std::sort(pairings.begin(), pairings.end(), isHeavier);
+    return pairings;
+}
+
+using OwnedByEntry = std::map<VmName, std::vector<VmName>>;
+
+/// Gives each upstream to an owner, so that the numbers of two owners differ by one at most. The heaviest pairings win
+/// as long as their owner stays within its equal share; the remainder of the division gives some owners one more.
+void distribute(const std::vector<VmName>& upstreams, const std::vector<VmName>& owners, OwnedByEntry& owned)
 {
-    // The name decides between equal weights, so that every process finds the same owner.
-    return *std::max_element(owners.begin(), owners.end(), [&](const VmName& first, const VmName& second) {
-        return std::pair(Detail::rendezvousHash(upstream, first), first)
-            < std::pair(Detail::rendezvousHash(upstream, second), second);
-    });
+    std::size_t total = upstreams.size();
+    for (const auto& owner : owners)
+        total += owned[owner].size();
+    const auto share = total / owners.size();
+    auto remainder = total % owners.size();
+    for (const auto& owner : owners)
+        remainder -= owned[owner].size() > share ? 1 : 0;
+
+    std::set<VmName> assigned;
+    for (const auto& pairing : pairingsByWeight(upstreams, owners)) {
+        auto& list = owned[*pairing.owner];
+        const bool needsRemainder = list.size() == share;
+        if (list.size() > share || (needsRemainder && remainder == 0) || !assigned.insert(*pairing.upstream).second)
+            continue;
+        remainder -= needsRemainder ? 1 : 0;
+        list.push_back(*pairing.upstream);
+    }
 }
 
 } // namespace
 
+// Plain rendezvous hashing left entries without any upstream while others had several. Distributing over all listed
+// entries first, and then only what dead or leaving ones would own, keeps the upstreams of the living where they are.
 std::vector<VmName> ownedUpstreams(const std::vector<VmName>& upstreams, const MemberView& view)
 {
     const auto owners = candidateOwners(view);
-    std::vector<VmName> owned;
-    std::copy_if(upstreams.begin(), upstreams.end(), std::back_inserter(owned),
-        [&](const VmName& upstream) { return ownerOf(upstream, owners) == view.self.vm; });
-    return owned;
+    OwnedByEntry owned;
+    distribute(upstreams, owners.listed, owned);
+    std::vector<VmName> orphans;
+    for (auto& [owner, list] : owned) {
+        if (std::find(owners.live.begin(), owners.live.end(), owner) == owners.live.end())
+            orphans.insert(orphans.end(), list.begin(), list.end());
+    }
+    distribute(orphans, owners.live, owned);
+
+    const auto& own = owned[view.self.vm];
+    const bool selfIsLive = std::find(owners.live.begin(), owners.live.end(), view.self.vm) != owners.live.end();
+    const std::set<VmName> ownNames(own.begin(), own.end());
+    std::vector<VmName> result;
+    std::copy_if(upstreams.begin(), upstreams.end(), std::back_inserter(result),
+        [&](const VmName& upstream) { return selfIsLive && ownNames.contains(upstream); });
+    return result;
 }
 
 } // namespace Balsammill
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -66,7 +66,7 @@
     local other=127.0.0.1:$(port "${name}_${domain2}_e2" listen)
     $balsammill operator --address "127.0.0.1:$(port "${name}_${domain1}_e1" operator)" \
         apply --config "$work/$name.json" --schema-root examples
-    for e in "$entry" "$other"; do
+    for e in "$entry" "$other"; do # Ready also means that the entries know of each other.
         for _ in $(seq 200); do
             curl -sf "http://$e/readyz" >/dev/null && break
             sleep 0.1
--- /dev/null
+++ b/tests/faultrun/FaultInjector.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Records.h"
+#include "support/Deployment.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <thread>
+
+namespace FaultRun {
+
+/// Applies random faults, some at the same time, and heals them again. All faults are healed by stop().
+class FaultInjector {
+public:
+    FaultInjector(std::uint64_t seed, IntegrationTest::Deployment&, Records&);
+    ~FaultInjector();
+
+    void start();
+    void stop();
+
+private:
+    struct ActiveFault {
+        std::string name;
+        Balsammill::TimePoint healAt;
+        std::function<void()> heal;
+    };
+
+    void run();
+    void injectOne();
+    void healDue(Balsammill::TimePoint now);
+    void add(const std::string& name, Balsammill::Duration, std::function<void()> heal);
+    bool anyActive(const std::string& prefix) const;
+    IntegrationTest::Entry* pickRunningEntry();
+    int uniform(int from, int to);
+
+    void killEntry();
+    void pauseEntry();
+    void stopEntryGracefully();
+    void cutDomains();
+    void loseOneWay();
+    void cutPlatform();
+    void disturbPlatform();
+    void disturbUpstream();
+    void markUpstreamLeaving();
+    void changeConfig();
+
+    IntegrationTest::Deployment& deployment_;
+    Records& records_;
+    std::mt19937_64 random_;
+    std::vector<ActiveFault> active_;
+    std::atomic<bool> stop_ { false };
+    std::thread thread_;
+};
+
+} // namespace FaultRun
--- /dev/null
+++ b/tests/faultrun/Workload.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Records.h"
+#include "support/Deployment.h"
+
+#include <atomic>
+#include <cstdint>
+#include <random>
+#include <shared_mutex>
+#include <thread>
+#include <vector>
+
+namespace FaultRun {
+
+struct WorkloadOptions {
+    std::uint64_t seed { 1 };
+    int callers { 8 };
+};
+
+/// Callers that make calls and submit jobs, hop between the entries, and resubmit jobs that they believe lost.
+class Workload {
+public:
+    Workload(WorkloadOptions, IntegrationTest::Deployment&, Records&);
+    ~Workload();
+
+    void start();
+    void stop();
+
+private:
+    void runCaller(int index);
+    void makeCall(std::mt19937_64&, const std::string& id);
+    void submitJob(std::mt19937_64&, const std::string& id);
+    JobAttempt attemptJob(std::mt19937_64&, const std::string& id, int tasks, const std::string& home);
+    const IntegrationTest::Entry& pickEntry(std::mt19937_64&);
+
+    WorkloadOptions options_;
+    IntegrationTest::Deployment& deployment_;
+    Records& records_;
+    std::atomic<bool> stop_ { false };
+    std::vector<std::thread> threads_;
+};
+
+std::int64_t wallClockUs();
+
+} // namespace FaultRun
--- /dev/null
+++ b/tests/integration/AnswerMatchingTests.cpp
@@ -0,0 +1,75 @@
+#include "support/Deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+using namespace IntegrationTest;
+using namespace std::chrono_literals;
+using Balsammill::Verdict;
+
+// Guards against an answer that reaches another request: answers overtake each other, and many arrive after their
+// request has timed out, on connections that would otherwise be used again.
+TEST_CASE("Every answer belongs to its own request while answers are late and crossed [answers]")
+{
+    Deployment deployment({ .name = "crossed", .domains = { "malaybalay" }, .runMs = 10, .upstreamProxies = true });
+    for (const auto& upstream : deployment.upstreams())
+        deployment.setRoute("upstream-" + upstream.vm, R"({"delay_ms":5,"jitter_ms":60})");
+
+    constexpr int callers = 40;
+    constexpr int callsPerCaller = 60;
+    std::atomic<int> answered { 0 };
+    std::atomic<int> mismatched { 0 };
+    std::atomic<int> timedOut { 0 };
+    std::vector<std::thread> threads;
+    for (int c = 0; c < callers; ++c) {
+        threads.emplace_back([&, c] {
+            for (int i = 0; i < callsPerCaller; ++i) {
+                const auto id = "cross-" + std::to_string(c) + "-" + std::to_string(i);
+                const auto& entry = deployment.entries()[static_cast<std::size_t>((c + i) % 2)];
+                // Every third call gives up while its answer is still on its way.
+                const Balsammill::Duration timeout = i % 3 == 0 ? 60ms : 10s;
+                const auto outcome = deployment.call(entry, "banhay.Tanim/TalaLog",
+                    R"({"requestId":")" + id + R"(","flower":)" + std::to_string(i) + "}", timeout);
+                if (!outcome.ok) {
+                    ++timedOut;
+                    continue;
+                }
+                ++answered;
+                if (outcome.answer.find("\"" + id + "\"") == std::string::npos)
+                    ++mismatched;
+            }
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    MESSAGE(answered.load() << " answered, " << timedOut.load() << " without an answer");
+    CHECK(answered.load() > 0);
+    CHECK(timedOut.load() > 0);
+    CHECK_MESSAGE(mismatched.load() == 0, mismatched.load() << " answers of other requests, expected 0");
+    for (const auto& [task, starts] : deployment.startCounts())
+        CHECK_MESSAGE(starts == 1, task << " started " << starts << " times, expected 1");
+}
+
+// Guards against a call that is not idempotent and runs again because its connection failed after the request was sent.
+TEST_CASE("A call whose connection breaks after the request runs at most once unless it is idempotent [answers]")
+{
+    Deployment deployment({ .name = "broken-connections", .domains = { "malaybalay" }, .entriesPerDomain = 1 });
+    for (const auto& upstream : deployment.upstreams())
+        deployment.setUpstreamMode(upstream, R"({"mode":"close-after-request"})");
+    for (int i = 0; i < 10; ++i) {
+        const auto outcome
+            = deployment.call(deployment.entries().front(), "banhay.Tanim/TalaLog", R"({"requestId":"broken"})");
+        CHECK_FALSE(outcome.ok);
+        const bool claimsNotRun = outcome.error.verdict == Verdict::NotRun;
+        if (claimsNotRun)
+            CHECK_MESSAGE(outcome.error.code == Balsammill::ErrorCode::Unavailable, outcome.error.message);
+    }
+    for (const auto& [task, starts] : deployment.startCounts())
+        CHECK_MESSAGE(starts <= 1, task << " started " << starts << " times, expected at most 1");
+    for (const auto& upstream : deployment.upstreams())
+        deployment.setUpstreamMode(upstream, R"({"mode":"ok"})");
+    CHECK(waitUntil(in(20s), [&] {
+        return deployment.call(deployment.entries().front(), "banhay.Tanim/TalaLog", R"({"requestId":"mended"})").ok;
+    }));
+}
--- /dev/null
+++ b/tests/integration/EntryFailureTests.cpp
@@ -0,0 +1,191 @@
+#include "support/Deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+using namespace IntegrationTest;
+using namespace std::chrono_literals;
+using Balsammill::Verdict;
+
+namespace {
+
+void checkStartedAtMostOnce(const Deployment& deployment)
+{
+    for (const auto& [task, starts] : deployment.startCounts())
+        CHECK_MESSAGE(starts == 1, task << " started " << starts << " times, expected 1");
+}
+
+balsammill::v1::JobResult parseResult(const CallOutcome& outcome)
+{
+    balsammill::v1::JobResult result;
+    REQUIRE_MESSAGE(outcome.ok, outcome.error.message);
+    REQUIRE(result.ParseFromString(outcome.answer));
+    return result;
+}
+
+/// The entry that is primary of the job's shard, as the entries of its home see it.
+Entry* findPrimary(Deployment& deployment, const std::string& domain)
+{
+    for (auto& entry : deployment.entries()) {
+        if (entry.domain != domain)
+            continue;
+        const auto state = deployment.state(entry);
+        for (const auto& shard : state.shards()) {
+            if (shard.role() == "primary" && shard.records() > 0)
+                return &entry;
+        }
+    }
+    return nullptr;
+}
+
+/// Submits until the answer is final, as callers do that believe their job lost.
+CallOutcome submitUntilAnswered(
+    const Deployment& deployment, const Entry& entry, const balsammill::v1::SubmitRequest& job)
+{
+    CallOutcome outcome;
+    waitUntil(in(30s), [&] {
+        outcome = deployment.submitJob(entry, job);
+        return outcome.ok;
+    });
+    return outcome;
+}
+
+} // namespace
+
+// Guards against a task that starts again when the entry that ran its job was killed, and against a partial answer.
+TEST_CASE("A job whose primary is killed is failed or complete, and never started again [failures]")
+{
+    Deployment deployment({ .name = "kill-primary",
+        .domains = { "malaybalay" },
+        .entriesPerDomain = 3,
+        .runMs = 200,
+        .entryFlags = { "--job-orphan-timeout-ms", "3000" } });
+    const auto job = makeJob("killed", 60, "malaybalay");
+    CallOutcome first;
+    std::thread submitter([&] { first = deployment.submitJob(deployment.entries()[0], job); });
+    REQUIRE(waitUntil(in(10s), [&] { return !deployment.startCounts().empty(); }));
+    auto* primary = findPrimary(deployment, "malaybalay");
+    REQUIRE(primary != nullptr);
+    primary->process->kill();
+    submitter.join();
+
+    for (auto& entry : deployment.entries()) {
+        if (&entry == primary)
+            continue;
+        const auto result = parseResult(submitUntilAnswered(deployment, entry, job));
+        if (result.state() == balsammill::v1::JOB_STATE_COMPLETE) {
+            CHECK(result.answers_json_size() == 60);
+        } else {
+            CHECK(result.state() == balsammill::v1::JOB_STATE_FAILED);
+            CHECK(result.verdict() == balsammill::v1::VERDICT_MAY_HAVE_RUN);
+            CHECK(result.answers_json_size() == 0);
+        }
+    }
+    checkStartedAtMostOnce(deployment);
+    const auto later = parseResult(submitUntilAnswered(deployment,
+        *(primary == &deployment.entries()[1] ? &deployment.entries()[2] : &deployment.entries()[1]),
+        makeJob("after-kill", 10, "malaybalay")));
+    CHECK(later.state() == balsammill::v1::JOB_STATE_COMPLETE);
+}
+
+// Guards against a primary that was paused, replaced, and starts tasks of new or old jobs when it goes on.
+TEST_CASE("A primary that was paused longer than the failure limit starts nothing twice [failures]")
+{
+    Deployment deployment({ .name = "pause-primary",
+        .domains = { "malaybalay" },
+        .entriesPerDomain = 3,
+        .runMs = 100,
+        .entryFlags = { "--job-orphan-timeout-ms", "20000" } });
+    const auto job = makeJob("paused", 80, "malaybalay");
+    CallOutcome first;
+    std::thread submitter([&] { first = deployment.submitJob(deployment.entries()[0], job, 60s); });
+    REQUIRE(waitUntil(in(10s), [&] { return !deployment.startCounts().empty(); }));
+    auto* primary = findPrimary(deployment, "malaybalay");
+    REQUIRE(primary != nullptr);
+    auto& other = *(primary == &deployment.entries()[1] ? &deployment.entries()[2] : &deployment.entries()[1]);
+    primary->process->signal(SIGSTOP);
+    const bool replaced = waitUntil(in(20s), [&] {
+        return parseResult(submitUntilAnswered(deployment, other, makeJob("while-paused", 5, "malaybalay"))).state()
+            == balsammill::v1::JOB_STATE_COMPLETE;
+    });
+    CHECK(replaced);
+    primary->process->signal(SIGCONT);
+    const auto result = parseResult(submitUntilAnswered(deployment, other, job));
+    submitter.join();
+    if (result.state() == balsammill::v1::JOB_STATE_COMPLETE)
+        CHECK(result.answers_json_size() == 80);
+    else
+        CHECK(result.verdict() == balsammill::v1::VERDICT_MAY_HAVE_RUN);
+    checkStartedAtMostOnce(deployment);
+}
+
+// Guards against a planned stop that cuts requests off or loses the records of its shards.
+TEST_CASE("A stopped entry finishes its requests and hands its shards over [failures]")
+{
+    Deployment deployment({ .name = "graceful", .domains = { "malaybalay" }, .entriesPerDomain = 3, .runMs = 300 });
+    auto& stopped = deployment.entries()[0];
+    const auto job = makeJob("in-flight", 30, "malaybalay");
+    CallOutcome jobOutcome;
+    std::vector<CallOutcome> callOutcomes(8);
+    std::vector<std::thread> callers;
+    callers.emplace_back([&] { jobOutcome = deployment.submitJob(stopped, job); });
+    for (auto& outcome : callOutcomes)
+        callers.emplace_back(
+            [&] { outcome = deployment.call(stopped, "banhay.Tanim/ParesAssign", R"({"requestId":"p"})"); });
+    REQUIRE(waitUntil(in(10s), [&] { return deployment.startCounts().size() > 8; }));
+    stopped.process->signal(SIGTERM);
+    const auto status = stopped.process->waitForExit(in(30s));
+    for (auto& caller : callers)
+        caller.join();
+    REQUIRE(status.has_value());
+    CHECK_MESSAGE(*status == 0, stopped.process->logTail());
+    for (const auto& outcome : callOutcomes)
+        CHECK_MESSAGE(outcome.ok, outcome.error.message);
+    CHECK(parseResult(jobOutcome).state() == balsammill::v1::JOB_STATE_COMPLETE);
+    const auto again = parseResult(submitUntilAnswered(deployment, deployment.entries()[1], job));
+    CHECK(again.state() == balsammill::v1::JOB_STATE_COMPLETE);
+    checkStartedAtMostOnce(deployment);
+}
+
+// Guards against a rolling replacement that loses calls: each VM's process stops gracefully and a new one takes its
+// place.
+TEST_CASE("Replacing every entry under load loses no call and starts nothing twice [failures]")
+{
+    Deployment deployment({ .name = "rolling", .domains = { "malaybalay" }, .entriesPerDomain = 3, .runMs = 30 });
+    std::atomic<bool> stop { false };
+    std::atomic<int> answered { 0 };
+    std::atomic<int> lost { 0 };
+    std::atomic<int> inService { 1 };
+    std::vector<std::thread> callers;
+    for (int c = 0; c < 4; ++c) {
+        callers.emplace_back([&, c] {
+            for (int i = 0; !stop.load(); ++i) {
+                // The balancer sends no calls to the entry that is being replaced.
+                const auto& entry = deployment.entries()[static_cast<std::size_t>(inService.load())];
+                const auto id = "roll-" + std::to_string(c) + "-" + std::to_string(i);
+                const auto outcome = deployment.call(entry, "banhay.Tanim/TalaLog", R"({"requestId":")" + id + "\"}");
+                if (outcome.ok)
+                    ++answered;
+                else if (outcome.error.verdict != Verdict::NotRun)
+                    ++lost;
+            }
+        });
+    }
+    for (std::size_t i = 0; i < deployment.entries().size(); ++i) {
+        auto& entry = deployment.entries()[i];
+        inService = static_cast<int>((i + 1) % deployment.entries().size());
+        entry.process->signal(SIGTERM);
+        const auto status = entry.process->waitForExit(in(30s));
+        REQUIRE(status.has_value());
+        CHECK_MESSAGE(*status == 0, entry.process->logTail());
+        deployment.startEntry(entry);
+        REQUIRE(deployment.waitUntilReady(entry));
+    }
+    stop = true;
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(answered.load() > 0);
+    CHECK_MESSAGE(lost.load() == 0, lost.load() << " calls lost, expected 0, of " << answered.load() << " answered");
+    checkStartedAtMostOnce(deployment);
+}
--- /dev/null
+++ b/tests/integration/support/Deployment.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "support/Control.h"
+#include "support/Process.h"
+
+#include "balsammill/rpc/RpcMessages.h"
+#include "balsammill/v1/jobs.pb.h"
+#include "balsammill/v1/operator.pb.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace IntegrationTest {
+
+struct DeploymentOptions {
+    std::string name;
+    std::vector<std::string> domains { "malaybalay", "valencia" };
+    int entriesPerDomain { 2 };
+    int upstreamsPerDomain { 2 };
+    int slots { 8 };
+    int runMs { 20 };
+    std::vector<std::string> entryFlags {};
+    /// Puts the proxy between entries, and between each failure domain and the platform.
+    bool proxies { false };
+    /// Puts the proxy between entries and upstreams; the routes are named "upstream-<vm>".
+    bool upstreamProxies { false };
+};
+
+struct Entry {
+    std::string vm;
+    std::string domain;
+    // Kept over restarts, as the callers and the proxy hold on to them.
+    ReservedPort callerPort {};
+    ReservedPort operatorPort {};
+    ReservedPort peerPort {};
+    std::unique_ptr<Process> process;
+};
+
+struct Upstream {
+    std::string vm;
+    std::string domain;
+    std::uint16_t port { 0 };
+};
+
+/// Outcome of one call as a caller sees it.
+struct CallOutcome {
+    bool ok { false };
+    std::string answer;
+    Balsammill::RpcErrorDetails error {};
+};
+
+/// A whole deployment of the growers' example on the loopback address: stand-in platform, upstreams and entries as real
+/// processes, with the configuration applied.
+class Deployment {
+public:
+    explicit Deployment(DeploymentOptions);
+    ~Deployment();
+
+    std::vector<Entry>& entries() { return entries_; }
+    Entry& entry(const std::string& vm);
+    std::vector<Upstream>& upstreams() { return upstreams_; }
+    std::uint16_t platformPort() const { return platform_->portFromReadyLine("port"); }
+
+    void startEntry(Entry&);
+    /// Tells the platform's list about all VMs; those named as leaving are marked so.
+    void publishVms(const std::set<std::string>& leaving = {}) const;
+    bool waitUntilReady(const Entry&) const;
+    bool waitUntilAllReady() const;
+
+    void setPlatformFaults(const std::string& json) const;
+    /// Sets faults of a proxy route, for example "platform-valencia" or "<from>-to-<to>".
+    void setRoute(const std::string& route, const std::string& json) const;
+    /// Cuts or heals every link between two failure domains.
+    void setDomainsCut(const std::string& left, const std::string& right, bool cut) const;
+    void setUpstreamMode(const Upstream&, const std::string& json) const;
+
+    CallOutcome call(const Entry&, const std::string& method, const std::string& json,
+        Balsammill::Duration timeout = std::chrono::seconds(10), const std::string& taskId = {}) const;
+    CallOutcome submitJob(const Entry&, const balsammill::v1::SubmitRequest&,
+        Balsammill::Duration timeout = std::chrono::seconds(20)) const;
+    balsammill::v1::StateResponse state(const Entry&) const;
+    /// Makes an operator call, for example "DrainVm".
+    CallOutcome operate(const Entry&, const std::string& action, const std::string& json,
+        Balsammill::Duration timeout = std::chrono::seconds(10)) const;
+    /// The example's configuration, as ApplyConfig takes it.
+    std::string exampleConfig(std::uint64_t expectedVersion) const;
+
+    /// Starts of all tasks at all upstreams, by task id.
+    std::map<std::string, int> startCounts() const;
+
+private:
+    void startPlatform();
+    void startUpstreams();
+    void reserveEntries();
+    void startProxies();
+    std::vector<std::string> entryArguments(const Entry&) const;
+
+    DeploymentOptions options_;
+    std::unique_ptr<Process> platform_;
+    std::vector<std::unique_ptr<Process>> upstreamProcesses_;
+    std::unique_ptr<Process> proxy_;
+    std::map<std::string, std::uint16_t> proxyPorts_;
+    std::vector<Upstream> upstreams_;
+    std::vector<Entry> entries_;
+};
+
+/// A job of the growers' example with the given number of tasks.
+balsammill::v1::SubmitRequest makeJob(const std::string& id, int tasks, const std::string& home = {});
+
+} // namespace IntegrationTest
