--- a/libs/entry/include/balsammill/entry/TaskForwarding.h
+++ b/libs/entry/include/balsammill/entry/TaskForwarding.h
@@ -29,7 +29,7 @@
     ~TaskForwarding();
 
     /// Forwards a task to a member with room, for Dispatcher::setForwarder().
-    bool forward(const DispatchTask&, DispatchCompletion);
+    bool forward(const DispatchTask&, const DispatchCompletion&);
 
     /// Handles ForwardTask, TaskDone, RevokeTask and Revoked; ignores other messages.
     void handlePeerMessage(const ProcessId& sender, const balsammill::internal::PeerMessage&);
--- a/libs/entry/src/TaskForwarding.cpp
+++ b/libs/entry/src/TaskForwarding.cpp
@@ -282,7 +282,7 @@
 
 TaskForwarding::~TaskForwarding() = default;
 
-bool TaskForwarding::forward(const DispatchTask& task, DispatchCompletion completion)
+bool TaskForwarding::forward(const DispatchTask& task, const DispatchCompletion& completion)
 {
     const auto view = detail_->members.load();
     const auto now = monotonicNow();
--- a/libs/entry/tests/TaskForwardingTests.cpp
+++ b/libs/entry/tests/TaskForwardingTests.cpp
@@ -37,8 +37,8 @@
             Schema::compile({ { "t.proto",
                 "syntax = \"proto3\"; package test; message M {} service Service { rpc Call(M) returns (M); }" } }),
             ConfigVersion(1) }));
-        dispatcher.setForwarder([this](const DispatchTask& task, DispatchCompletion completion) {
-            return forwarding.forward(task, std::move(completion));
+        dispatcher.setForwarder([this](const DispatchTask& task, const DispatchCompletion& completion) {
+            return forwarding.forward(task, completion);
         });
         dispatcher.start();
     }
