Add the open-loop load generator

Tests and measurements need arrivals that do not wait for answers, response times from the scheduled arrival, and a check of each answer against its own request.

One thread per class waits for the next arrival and makes the call itself after another has taken over the waiting, so that no call is handed to another thread. A call that the limit in flight held back for over 1 s is not sent and counted apart. Percentiles are measured values.

--- /dev/null
+++ b/standin/LoadPlot.cpp
@@ -0,0 +1,106 @@
+#include "LoadReport.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace Balsammill::Standin {
+
+namespace {
+
+constexpr double width = 960;
+constexpr double height = 420;
+constexpr double left = 60;
+constexpr double right = 170;
+constexpr double top = 20;
+constexpr double bottom = 40;
+constexpr std::size_t bucketCount = 120;
+// Shown range of the logarithmic axis, in powers of ten of a millisecond.
+constexpr double lowestPower = -1;
+constexpr double highestPower = 4.5;
+constexpr std::array colours { "#1f77b4", "#d62728", "#2ca02c", "#9467bd", "#ff7f0e", "#17becf", "#8c564b", "#7f7f7f" };
+
+using Buckets = std::array<std::vector<double>, bucketCount>;
+
+double xOf(double share) { return left + share * (width - left - right); }
+
+double yOf(double milliseconds)
+{
+    const auto power = std::clamp(std::log10(std::max(milliseconds, 1e-3)), lowestPower, highestPower);
+    return height - bottom - (power - lowestPower) / (highestPower - lowestPower) * (height - top - bottom);
+}
+
+Buckets fillBuckets(const LoadClassResult& result, Duration length)
+{
+    Buckets buckets;
+    for (const auto& sample : result.samples) {
+        if (sample.outcome != CallOutcome::Completed)
+            continue;
+        const auto share = static_cast<double>(sample.arrival.count()) / static_cast<double>(length.count());
+        const auto index = std::min(static_cast<std::size_t>(share * bucketCount), bucketCount - 1);
+        buckets.at(index).push_back(static_cast<double>(sample.response.count()) / 1000);
+    }
+    return buckets;
+}
+
+void drawLine(std::ostream& svg, const Buckets& buckets, double Percentiles::*figure, const char* style)
+{
+    svg << "<polyline fill='none' " << style << " points='";
+    for (std::size_t i = 0; i < bucketCount; ++i) {
+        if (!buckets.at(i).empty()) {
+            const auto share = (static_cast<double>(i) + 0.5) / bucketCount;
+            svg << xOf(share) << ',' << yOf(percentilesOf(buckets.at(i)).*figure) << ' ';
+        }
+    }
+    svg << "'/>\n";
+}
+
+void drawAxes(std::ostream& svg, Duration length)
+{
+    for (int power = static_cast<int>(lowestPower); power <= static_cast<int>(highestPower); ++power) {
+        const auto y = yOf(std::pow(10, power));
+        svg << "<line x1='" << left << "' x2='" << width - right << "' y1='" << y << "' y2='" << y
+            << "' stroke='#ddd'/><text x='" << left - 6 << "' y='" << y + 4 << "' text-anchor='end'>"
+            << std::pow(10, power) << "</text>\n";
+    }
+    const auto seconds = std::chrono::duration<double>(length).count();
+    for (int i = 0; i <= 10; ++i) {
+        svg << "<text x='" << xOf(i / 10.0) << "' y='" << height - bottom + 16 << "' text-anchor='middle'>"
+            << std::round(seconds * i) / 10 << "</text>\n";
+    }
+    svg << "<text x='" << xOf(0.5) << "' y='" << height - 6
+        << "' text-anchor='middle'>arrival [s]</text><text x='12' y='" << height / 2 << "' transform='rotate(-90 12 "
+        << height / 2 << ")' text-anchor='middle'>response [ms]</text>\n";
+}
+
+std::string escape(const std::string& text)
+{
+    std::string escaped;
+    for (const char c : text)
+        escaped += c == '<' ? "&lt;" : c == '&' ? "&amp;" : std::string(1, c);
+    return escaped;
+}
+
+} // namespace
+
+std::string plotResponses(const std::vector<std::pair<std::string, const LoadClassResult*>>& classes, Duration length)
+{
+    std::ostringstream svg;
+    svg << "<svg xmlns='http://www.w3.org/2000/svg' viewBox='0 0 " << width << ' ' << height
+        << "' font-family='sans-serif' font-size='12'>\n<rect width='100%' height='100%' fill='white'/>\n";
+    drawAxes(svg, length);
+    double legendY = top + 10;
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        const std::string colour = colours.at(i % colours.size());
+        const auto buckets = fillBuckets(*classes[i].second, length);
+        drawLine(svg, buckets, &Percentiles::p50, ("stroke-width='1.5' stroke='" + colour + "'").c_str());
+        drawLine(svg, buckets, &Percentiles::p99, ("stroke-dasharray='4 3' stroke='" + colour + "'").c_str());
+        svg << "<text x='" << width - right + 10 << "' y='" << legendY << "' fill='" << colour << "'>"
+            << escape(classes[i].first) << "</text>\n";
+        legendY += 18;
+    }
+    svg << "<text x='" << width - right + 10 << "' y='" << legendY << "'>line p50, dashed p99</text>\n</svg>\n";
+    return svg.str();
+}
+
+} // namespace Balsammill::Standin
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -13,6 +13,7 @@
     addPlatformCommand(app);
     addUpstreamCommand(app);
     addProxyCommand(app);
+    addLoadCommand(app);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
