Bound nested Any values and look types up in the schema only

The descriptor pool also remembers every unknown type name for ever, so callers of a method with an Any field could grow it. Change: the wire check descends into Any values whose type the schema has, so that they count against the 32 levels. JsonTypes holds all types of the schema, converted once, and looks names up without a lock and without the pool. Tests also cover an answer that trickles in and a large request refused early. Conclusion: a faulty upstream or caller cannot overflow the stack through Any.

--- a/libs/rpc/tests/UpstreamFaultTests.cpp
+++ b/libs/rpc/tests/UpstreamFaultTests.cpp
@@ -249,3 +249,35 @@
     CHECK(std::get<UpstreamFailure>(result).error.code == ErrorCode::ResourceExhausted);
     CHECK(std::get<UpstreamFailure>(result).error.verdict == Verdict::NotRun);
 }
+
+// Guards against an upstream that holds a slot beyond the deadline by sending its answer byte by byte.
+TEST_CASE("An answer that trickles in is cut off at the deadline")
+{
+    ScriptedUpstream upstream([](StreamSocket& socket, int) {
+        std::string received;
+        ScriptedUpstream::readRequest(socket, received);
+        // The pool closes the connection at the deadline, which ends the wait for input.
+        for (int i = 0; i < 1000 && !socket.poll(Poco::Timespan(0, 10000), Poco::Net::Socket::SELECT_READ); ++i)
+            ScriptedUpstream::send(socket, "H");
+    });
+    UpstreamPool pool({});
+    const auto result = pool.exchange(request(upstream.address(), std::chrono::milliseconds(100)));
+    REQUIRE(std::holds_alternative<UpstreamFailure>(result));
+    CHECK(std::get<UpstreamFailure>(result).error.code == ErrorCode::DeadlineExceeded);
+    CHECK(std::get<UpstreamFailure>(result).error.verdict == Verdict::MayHaveRun);
+}
+
+// Guards against a large request that is refused early and is then called possibly run, because the connection ended
+// while the request was being sent.
+TEST_CASE("A large request that is refused early gets the upstream's verdict")
+{
+    const ServerFixture fixture({ .maxBodyBytes = 1024 });
+    UpstreamPool pool({});
+    auto large = request(fixture.address());
+    large.body.assign(8 * 1024 * 1024, 'x');
+    const auto result = pool.exchange(large);
+    REQUIRE(std::holds_alternative<UpstreamFailure>(result));
+    CHECK(std::get<UpstreamFailure>(result).error.code == ErrorCode::ResourceExhausted);
+    CHECK(std::get<UpstreamFailure>(result).error.verdict == Verdict::NotRun);
+    CHECK(std::get<UpstreamFailure>(result).answered);
+}
--- a/libs/schema/src/JsonTypes.cpp
+++ b/libs/schema/src/JsonTypes.cpp
@@ -2,47 +2,48 @@
 
 #include <google/protobuf/util/type_resolver_util.h>
 
-#include <mutex>
+#include <memory>
 
 namespace Balsammill::Detail {
 
 namespace {
 
-constexpr auto urlPrefix = "type.googleapis.com";
+const std::string urlPrefix = "type.googleapis.com";
+
+std::string urlOfName(const std::string& fullName) { return urlPrefix + "/" + fullName; }
+
+template <typename Types, typename Result>
+google::protobuf::util::Status copyType(const Types& types, const std::string& typeUrl, Result* result)
+{
+    const auto found = types.find(typeUrl);
+    if (found == types.end())
+        return google::protobuf::util::NotFoundError("the schema has no type '" + typeUrl + "'");
+    *result = found->second;
+    return {};
+}
 
 } // namespace
 
-JsonTypes::JsonTypes(const google::protobuf::DescriptorPool* pool)
-    : resolver_(google::protobuf::util::NewTypeResolverForDescriptorPool(urlPrefix, pool))
+JsonTypes::JsonTypes(const google::protobuf::DescriptorPool* pool, const TypeTable& types)
 {
+    const std::unique_ptr<google::protobuf::util::TypeResolver> resolver(
+        google::protobuf::util::NewTypeResolverForDescriptorPool(urlPrefix, pool));
+    for (const auto& [name, descriptor] : types.messages())
+        static_cast<void>(resolver->ResolveMessageType(urlOfName(name), &messages_[urlOfName(name)]));
+    for (const auto& [name, descriptor] : types.enums())
+        static_cast<void>(resolver->ResolveEnumType(urlOfName(name), &enums_[urlOfName(name)]));
 }
 
 google::protobuf::util::Status JsonTypes::ResolveMessageType(const std::string& typeUrl, google::protobuf::Type* type)
 {
-    {
-        std::shared_lock lock(mutex_);
-        if (const auto found = types_.find(typeUrl); found != types_.end()) {
-            *type = found->second;
-            return {};
-        }
-    }
-    auto status = resolver_->ResolveMessageType(typeUrl, type);
-    // Only types of the schema resolve, so a hostile type URL cannot grow the map.
-    if (status.ok()) {
-        std::unique_lock lock(mutex_);
-        types_.emplace(typeUrl, *type);
-    }
-    return status;
+    return copyType(messages_, typeUrl, type);
 }
 
 google::protobuf::util::Status JsonTypes::ResolveEnumType(const std::string& typeUrl, google::protobuf::Enum* type)
 {
-    return resolver_->ResolveEnumType(typeUrl, type);
+    return copyType(enums_, typeUrl, type);
 }
 
-std::string JsonTypes::urlOf(const google::protobuf::Descriptor& type)
-{
-    return std::string(urlPrefix) + "/" + type.full_name();
-}
+std::string JsonTypes::urlOf(const google::protobuf::Descriptor& type) { return urlOfName(type.full_name()); }
 
 } // namespace Balsammill::Detail
--- a/libs/schema/src/JsonTypes.h
+++ b/libs/schema/src/JsonTypes.h
@@ -1,21 +1,21 @@
 #pragma once
 
+#include "TypeTable.h"
+
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/type.pb.h>
 #include <google/protobuf/util/type_resolver.h>
 
-#include <map>
-#include <memory>
-#include <shared_mutex>
 #include <string>
+#include <unordered_map>
 
 namespace Balsammill::Detail {
 
-/// Type resolver of the JSON conversion that remembers resolved types. The library's own resolver converts the
-/// descriptors anew for every message.
+/// Type resolver of the JSON conversion that holds all types of a schema, converted once. The library's own resolver
+/// converts descriptors anew for every message and looks up unknown names in the pool.
 class JsonTypes : public google::protobuf::util::TypeResolver {
 public:
-    explicit JsonTypes(const google::protobuf::DescriptorPool*);
+    JsonTypes(const google::protobuf::DescriptorPool*, const TypeTable&);
 
     google::protobuf::util::Status ResolveMessageType( // NOLINT(readability-identifier-naming)
         const std::string& typeUrl, google::protobuf::Type*) override;
@@ -25,9 +25,8 @@
     static std::string urlOf(const google::protobuf::Descriptor&);
 
 private:
-    std::unique_ptr<google::protobuf::util::TypeResolver> resolver_;
-    std::shared_mutex mutex_;
-    std::map<std::string, google::protobuf::Type, std::less<>> types_;
+    std::unordered_map<std::string, google::protobuf::Type> messages_;
+    std::unordered_map<std::string, google::protobuf::Enum> enums_;
 };
 
 } // namespace Balsammill::Detail
--- a/libs/schema/src/Schema.cpp
+++ b/libs/schema/src/Schema.cpp
@@ -4,6 +4,7 @@
 #include "JsonTypes.h"
 #include "MethodPolicies.h"
 #include "SchemaFiles.h"
+#include "TypeTable.h"
 #include "WireCheck.h"
 
 #include "balsammill/base/RpcError.h"
@@ -68,7 +69,6 @@
         : files(sources)
         , importer(&files, &collector)
         , factory(importer.pool())
-        , jsonTypes(importer.pool())
     {
     }
 
@@ -81,7 +81,8 @@
     Balsammill::Detail::FaultCollector collector;
     google::protobuf::compiler::Importer importer;
     mutable google::protobuf::DynamicMessageFactory factory;
-    mutable Balsammill::Detail::JsonTypes jsonTypes;
+    Balsammill::Detail::TypeTable types;
+    std::unique_ptr<Balsammill::Detail::JsonTypes> jsonTypes;
     std::map<std::string, MethodInfo, std::less<>> methods;
     /// Types that have proto2 required fields somewhere, which the wire check alone cannot judge.
     std::set<const Descriptor*> typesWithRequiredFields;
@@ -99,10 +100,12 @@
     faults.insert(faults.begin(), collector.faults().begin(), collector.faults().end());
     if (!faults.empty())
         throw SchemaError(std::move(faults));
+    jsonTypes = std::make_unique<Balsammill::Detail::JsonTypes>(importer.pool(), types);
 }
 
 void Schema::Detail::addFile(const google::protobuf::FileDescriptor& file, std::vector<SchemaFault>& faults)
 {
+    types.addFile(file);
     for (int s = 0; s < file.service_count(); ++s) {
         for (int m = 0; m < file.service(s)->method_count(); ++m) {
             auto info = Balsammill::Detail::readMethod(*file.service(s)->method(m), faults);
@@ -120,7 +123,7 @@
 std::optional<Balsammill::Detail::WireFault> Schema::Detail::findFault(
     const Descriptor& type, std::string_view binary) const
 {
-    auto fault = Balsammill::Detail::checkWire(type, binary);
+    auto fault = Balsammill::Detail::checkWire(type, binary, types);
     if (!fault && typesWithRequiredFields.contains(&type))
         fault = findMissingField(type, binary);
     return fault;
@@ -176,9 +179,9 @@
     if (auto cause = Balsammill::Detail::checkJsonText(json, Balsammill::Detail::maxNesting))
         refuse(type, {}, *cause);
     std::string binary;
-    const auto status
-        = google::protobuf::util::JsonToBinaryString(&detail_->jsonTypes, Balsammill::Detail::JsonTypes::urlOf(type),
-            { json.data(), json.size() }, &binary, google::protobuf::util::JsonParseOptions());
+    const auto status = google::protobuf::util::JsonToBinaryString(detail_->jsonTypes.get(),
+        Balsammill::Detail::JsonTypes::urlOf(type), { json.data(), json.size() }, &binary,
+        google::protobuf::util::JsonParseOptions());
     if (!status.ok()) {
         const auto fault = Balsammill::Detail::parseJsonFault({ status.message().data(), status.message().size() });
         refuse(type, fault.field, fault.cause);
@@ -206,7 +209,7 @@
 {
     checkAnswer(method, binary);
     std::string json;
-    const auto status = google::protobuf::util::BinaryToJsonString(&detail_->jsonTypes,
+    const auto status = google::protobuf::util::BinaryToJsonString(detail_->jsonTypes.get(),
         Balsammill::Detail::JsonTypes::urlOf(*method.output), std::string(binary), &json,
         google::protobuf::util::JsonPrintOptions());
     if (!status.ok())
--- a/libs/schema/src/WireCheck.cpp
+++ b/libs/schema/src/WireCheck.cpp
@@ -1,5 +1,8 @@
 #include "WireCheck.h"
 
+#include "TypeTable.h"
+
+#include <google/protobuf/any.pb.h>
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/stubs/common.h>
@@ -18,9 +21,38 @@
 
 class WireChecker {
 public:
-    explicit WireChecker(std::string_view binary)
-        : input_(reinterpret_cast<const std::uint8_t*>(binary.data()), static_cast<int>(binary.size()))
+    WireChecker(std::string_view binary, const TypeTable& types)
+        : binary_(binary)
+        , types_(types)
+        , input_(reinterpret_cast<const std::uint8_t*>(binary.data()), static_cast<int>(binary.size()))
+    {
+    }
+
+    /// Checks the whole input.
+    bool check(const Descriptor& type, int depth)
     {
+        return checkMessage(type, depth, 0) && (!isAny(type) || checkAny(binary_, depth));
+    }
+
+    WireFault takeFault() { return std::move(fault_); }
+
+private:
+    static bool isAny(const Descriptor& type) { return type.well_known_type() == Descriptor::WELLKNOWNTYPE_ANY; }
+
+    bool checkAny(std::string_view binary, int depth)
+    {
+        google::protobuf::Any any;
+        if (!any.ParseFromArray(binary.data(), static_cast<int>(binary.size())))
+            return fail("malformed google.protobuf.Any");
+        const auto name = std::string_view(any.type_url()).substr(any.type_url().rfind('/') + 1);
+        const auto* type = types_.findMessage(name);
+        if (type == nullptr)
+            return true;
+        WireChecker nested(any.value(), types_);
+        if (nested.check(*type, depth + 1))
+            return true;
+        fault_ = nested.takeFault();
+        return false;
     }
 
     /// Reads fields until the end of the input or limit, or until the given end-group tag.
@@ -48,9 +80,6 @@
         return (endTag == 0 && input_.ConsumedEntireMessage()) || fail("malformed or truncated field");
     }
 
-    WireFault takeFault() { return std::move(fault_); }
-
-private:
     bool checkField(const FieldDescriptor& field, std::uint32_t tag, int depth)
     {
         const auto actual = WireFormatLite::GetTagWireType(tag);
@@ -88,10 +117,13 @@
         if (!readLength(length))
             return false;
         if (field.type() == FieldDescriptor::TYPE_MESSAGE) {
+            const auto& type = *field.message_type();
+            const auto content
+                = binary_.substr(static_cast<std::size_t>(input_.CurrentPosition()), static_cast<std::size_t>(length));
             const auto limit = input_.PushLimit(length);
-            const bool fits = checkMessage(*field.message_type(), depth + 1, 0);
+            const bool fits = checkMessage(type, depth + 1, 0);
             input_.PopLimit(limit);
-            return fits;
+            return fits && (!isAny(type) || checkAny(content, depth + 1));
         }
         if (field.type() == FieldDescriptor::TYPE_STRING) {
             const void* text = nullptr;
@@ -135,18 +167,20 @@
         return false;
     }
 
+    std::string_view binary_;
+    const TypeTable& types_;
     CodedInputStream input_;
     WireFault fault_;
 };
 
 } // namespace
 
-std::optional<WireFault> checkWire(const Descriptor& type, std::string_view binary)
+std::optional<WireFault> checkWire(const Descriptor& type, std::string_view binary, const TypeTable& types)
 {
     if (binary.size() > static_cast<std::size_t>(std::numeric_limits<int>::max()))
         return WireFault { .field = {}, .cause = "message is larger than 2 GiB" };
-    WireChecker checker(binary);
-    if (checker.checkMessage(type, 0, 0))
+    WireChecker checker(binary, types);
+    if (checker.check(type, 0))
         return std::nullopt;
     return checker.takeFault();
 }
--- a/libs/schema/src/WireCheck.h
+++ b/libs/schema/src/WireCheck.h
@@ -19,8 +19,11 @@
     std::string cause;
 };
 
-/// Checks a binary message against its type without building it. Unknown field numbers are accepted, as protobuf
-/// intends for newer callers; a known number with another wire type is a fault.
-std::optional<WireFault> checkWire(const google::protobuf::Descriptor&, std::string_view binary);
+class TypeTable;
+
+/// Checks a binary message against its type without building it, also inside google.protobuf.Any if its type is in the
+/// table: the JSON converter does not count the levels of nested Any values and would overflow the stack. Unknown field
+/// numbers are accepted, as protobuf intends for newer callers; a known number with another wire type is a fault.
+std::optional<WireFault> checkWire(const google::protobuf::Descriptor&, std::string_view binary, const TypeTable&);
 
 } // namespace Balsammill::Detail
--- a/libs/schema/tests/BadInputTests.cpp
+++ b/libs/schema/tests/BadInputTests.cpp
@@ -2,6 +2,8 @@
 #include "balsammill/schema/Schema.h"
 
 #include <doctest/doctest.h>
+#include <google/protobuf/any.pb.h>
+#include <google/protobuf/wrappers.pb.h>
 
 #include <string>
 
@@ -252,3 +254,31 @@
                     "a\x13\x1a\x01"
                     "b\x14")));
 }
+
+// Guards against a crash of the entry: the JSON converter recurses once per nested Any without a limit.
+TEST_CASE("Nested Any values count as levels")
+{
+    const auto schema = Schema::compile({ { "a.proto", R"(syntax = "proto3"; package a;
+        import "google/protobuf/any.proto";
+        message M { google.protobuf.Any any = 1; string s = 2; }
+        service S { rpc Do(M) returns (M); })" } });
+    const auto& method = *schema->findMethod("a.S/Do");
+    const auto nested = [](int depth) {
+        google::protobuf::Any any;
+        for (int i = 0; i < depth; ++i) {
+            google::protobuf::Any outer;
+            outer.PackFrom(any);
+            any = outer;
+        }
+        // A message with field 1 of type Any has the same bytes as one with a field 1 of type bytes.
+        google::protobuf::BytesValue message;
+        message.set_value(any.SerializeAsString());
+        return message.SerializeAsString();
+    };
+    CHECK_NOTHROW(schema->answerToJson(method, nested(20)));
+    CHECK_THROWS_WITH(schema->answerToJson(method, nested(100)), doctest::Contains("nested more than 32"));
+    CHECK_THROWS_WITH(schema->checkRequest(method, nested(100)), doctest::Contains("nested more than 32"));
+    CHECK_THROWS_WITH(schema->requestFromJson(method, R"({"any":{"@type":"type.googleapis.com/a.Missing"}})"),
+        doctest::Contains("a.Missing"));
+    CHECK_NOTHROW(schema->requestFromJson(method, R"({"any":{"@type":"type.googleapis.com/a.M","s":"x"}})"));
+}
