Report the run time of the last attempt

Cause: a task that was returned to the queue and expired there counted its second wait as run time.

Change: the dispatcher keeps the time of the last attempt; a test of the bound on late charges.

--- a/libs/entry/src/DispatchWork.cpp
+++ b/libs/entry/src/DispatchWork.cpp
@@ -41,9 +41,4 @@
     return (work.attempts > 0 ? work.startedAt : now) - work.submittedAt;
 }
 
-Duration runTime(const DispatchWork& work, TimePoint now)
-{
-    return work.attempts > 0 ? now - work.startedAt : Duration::zero();
-}
-
 } // namespace Balsammill::Detail
--- a/libs/entry/src/DispatchWork.h
+++ b/libs/entry/src/DispatchWork.h
@@ -21,14 +21,15 @@
     TimePoint submittedAt;
     TimePoint startedAt;
     std::uint32_t attempts { 0 };
+    /// Time of the last attempt that has ended.
+    Duration run {};
     /// An attempt may have run, so no later refusal may say not-run.
     bool mayHaveRun { false };
     VmName failedUpstream;
 };
 
 TaskSpec specOf(const DispatchWork&);
-/// Time before the last start, and on the upstream since then; both end now.
+/// Time before the last start, or until now if there was none.
 Duration queuedTime(const DispatchWork&, TimePoint now);
-Duration runTime(const DispatchWork&, TimePoint now);
 
 } // namespace Balsammill::Detail
--- a/libs/entry/src/DispatcherCore.cpp
+++ b/libs/entry/src/DispatcherCore.cpp
@@ -227,10 +227,10 @@
 {
     auto& target = service(work->task.service);
     const auto outcome = outcomeOf(result);
+    work->run = now - work->startedAt;
     target.scheduler.finished(work->id, outcome, now);
     if (auto* answer = std::get_if<UpstreamAnswer>(&result)) {
-        end(work, DispatchAnswer { std::move(answer->body), queuedTime(*work, now), runTime(*work, now) }, now,
-            completed);
+        end(work, DispatchAnswer { std::move(answer->body), queuedTime(*work, now), work->run }, now, completed);
         return;
     }
     auto& failed = std::get<UpstreamFailure>(result);
--- a/libs/entry/src/DispatcherReport.cpp
+++ b/libs/entry/src/DispatcherReport.cpp
@@ -14,7 +14,7 @@
         .team = work.task.team,
         .response = now - work.submittedAt,
         .queued = queuedTime(work, now),
-        .run = runTime(work, now),
+        .run = work.run,
         .verdict = Verdict::Ran,
         .succeeded = true,
     };
--- a/libs/policy/tests/SchedulerTests.cpp
+++ b/libs/policy/tests/SchedulerTests.cpp
@@ -141,6 +141,38 @@
     }
 }
 
+// Guards against a method that is locked out because it used idle slots for longer than it had declared: charging all
+// of that time would let 800 of the other tasks go first.
+TEST_CASE("Work that ran long while slots were idle is not locked out afterwards")
+{
+    Scheduler scheduler({});
+    scheduler.setUpstreams(upstreams(1, 8), at(0s));
+    auto longRunning = task(0, 1ms, 1h);
+    longRunning.method = MethodName("long");
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        longRunning.id = TaskId(id);
+        scheduler.submit(longRunning, at(0s));
+    }
+    CHECK(startAll(scheduler, at(0s)).size() == 8);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        scheduler.finished(TaskId(id), TaskOutcome::Succeeded, at(10s));
+    for (std::uint64_t id = 100; id < 1100; ++id)
+        scheduler.submit(task(id, 100ms, 1h), at(10s));
+    longRunning.id = TaskId(9);
+    scheduler.submit(longRunning, at(10s));
+    std::size_t startedBefore = 0;
+    bool longStarted = false;
+    for (auto now = at(10s); !longStarted && startedBefore < 1000; now += 100ms) {
+        for (const auto id : startAll(scheduler, now)) {
+            longStarted = longStarted || id == TaskId(9);
+            startedBefore += longStarted ? 0 : 1;
+            scheduler.finished(id, TaskOutcome::Succeeded, now + 100ms);
+        }
+    }
+    CHECK(longStarted);
+    CHECK(startedBefore <= 200);
+}
+
 // Guards against short tasks that wait behind long ones, and against long ones that are overtaken without end.
 TEST_CASE("Within a method shorter size classes go first until the longer task is old")
 {
