--- a/libs/policy/tests/QueueStructureTests.cpp
+++ b/libs/policy/tests/QueueStructureTests.cpp
@@ -101,6 +101,33 @@
     CHECK(wheel.advance(at(2s)).size() == queueLength - 1);
 }
 
+// Guards against shares that follow declarations instead of the slot time that was used, and against charges for tasks
+// that never ran.
+TEST_CASE("A flow is charged for the slot time that its tasks used")
+{
+    RunTimeEstimates estimates;
+    FairQueue queue(estimates, {});
+    auto tasks = records(estimates);
+    for (std::size_t i = 0; i < queueLength; ++i) {
+        estimates.declare(*tasks[i].runTimes, tasks[i].sizeClass, 100ms);
+        queue.bind(tasks[i], { .method = MethodName("method"), .team = TeamName(i % 2 == 0 ? "even" : "odd") });
+        queue.push(tasks[i]);
+    }
+    const auto popsOfOther = [&](const TaskRecord& first) {
+        for (std::size_t count = 0;; ++count) {
+            if (queue.pop(at(0s))->flow == first.flow)
+                return count;
+        }
+    };
+    auto* longTask = queue.pop(at(0s));
+    queue.settle(*longTask, 1'000'000, 100);
+    CHECK(popsOfOther(*longTask) >= 9);
+
+    auto* unused = queue.pop(at(0s));
+    queue.settle(*unused, 0, 100);
+    CHECK(popsOfOther(*unused) == 0);
+}
+
 // Guards against deadlines that are lost, reported early or reported twice when they lie beyond one turn of the wheel
 // or when the process was paused for longer than a turn.
 TEST_CASE("The wheel reports each deadline once, within a bucket after it")
--- a/libs/policy/tests/SchedulerTests.cpp
+++ b/libs/policy/tests/SchedulerTests.cpp
@@ -216,6 +216,28 @@
     CHECK(scheduler.load(at(6s)).freeSlots == 1);
 }
 
+// Guards against a wide task that holds up the whole service while it waits for its slots.
+TEST_CASE("Other upstreams go on with narrow tasks while one is reserved")
+{
+    Scheduler scheduler({});
+    scheduler.setUpstreams(upstreams(2, 4), at(0s));
+    std::map<std::string, TaskId> runningOn;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        scheduler.submit(task(id), at(0s));
+        const auto assignment = scheduler.nextAssignment(at(0s));
+        REQUIRE(assignment.has_value());
+        runningOn[assignment->upstream.value] = assignment->task;
+    }
+    auto wide = task(9);
+    wide.slots = Slots(3);
+    scheduler.submit(wide, at(0s));
+    scheduler.submit(task(10), at(0s));
+    REQUIRE(runningOn.size() == 2);
+    for (const auto& [vm, id] : runningOn)
+        scheduler.finished(id, TaskOutcome::Succeeded, at(100ms));
+    CHECK(startAll(scheduler, at(100ms)) == std::vector { TaskId(10) });
+}
+
 // Guards against a wide task that never finds enough free slots because narrow tasks take each one.
 TEST_CASE("A task of several slots reserves an upstream until enough of its slots are free")
 {
