--- a/libs/jobs/include/balsammill/jobs/ShardRole.h
+++ b/libs/jobs/include/balsammill/jobs/ShardRole.h
@@ -37,7 +37,10 @@
     Duration aloneConfirmLimit { std::chrono::minutes(2) };
     /// No holder is judged lost before this time after the start, because no heartbeat may have arrived yet.
     Duration startupGrace { std::chrono::seconds(2) };
-    /// After this time without holders, an entry takes over even if another one ranks before it.
+    /// After this time without holders in sight, the first-ranked entry takes over. Two entries that see only a third
+    /// one would otherwise take the shard from each other before either has a backup.
+    Duration takeoverDelay { std::chrono::seconds(1) };
+    /// After this time, an entry takes over even if another one ranks before it.
     Duration vacancyLimit { std::chrono::seconds(5) };
     /// Pause after a table request that failed, and between requests to take a shard over.
     Duration retryDelay { std::chrono::milliseconds(200) };
--- a/libs/jobs/src/ShardRole.cpp
+++ b/libs/jobs/src/ShardRole.cpp
@@ -69,6 +69,8 @@
         missing_ = true;
         readNeeded_ = false;
         confirmedAt_ = time.now;
+        if (unresolvedWrite_)
+            nextTableRequestAt_ = time.now + options_.retryDelay;
         return;
     }
     nextTableRequestAt_ = time.now + options_.retryDelay;
--- a/libs/jobs/src/ShardRoleDecisions.cpp
+++ b/libs/jobs/src/ShardRoleDecisions.cpp
@@ -97,7 +97,8 @@
 {
     if (!vacantSince_ || peers.selfLeaving())
         return std::nullopt;
-    if (!peers.selfRanksFirst(subject()) && time.now < *vacantSince_ + options_.vacancyLimit)
+    const auto delay = peers.selfRanksFirst(subject()) ? options_.takeoverDelay : options_.vacancyLimit;
+    if (time.now < *vacantSince_ + delay)
         return std::nullopt;
     // An old primary without backup may still admit jobs until it has to confirm its record.
     const auto unknownFor
--- a/libs/jobs/tests/JobFailoverTests.cpp
+++ b/libs/jobs/tests/JobFailoverTests.cpp
@@ -252,6 +252,30 @@
     CHECK(world.starts("job-1") == 1);
 }
 
+TEST_CASE("two entries that see only the third do not take the shard from each other" * test_suite("[jobs]"))
+{
+    // Each took over from the other at once, before either had a backup, and so without end.
+    LedgerWorld world(3);
+    world.settlePair();
+    const auto first = *world.primary();
+    const auto second = *world.backup();
+    const auto third = world.third();
+    world.stop(second);
+    world.stop(first);
+    world.restart(first);
+    world.restart(second);
+    world.partition(first, second, true);
+    world.pause(third);
+    world.run(3s);
+    world.resume(third);
+    REQUIRE(world.runUntil([&] { return world.primary().has_value(); }));
+    world.run(3s);
+    const auto writes = world.history.size();
+    world.run(20s);
+    CHECK(world.history.size() <= writes + 2);
+    CHECK(world.backup().has_value());
+}
+
 TEST_CASE("a restart of everything takes the owners from the table and the history as unknown" * test_suite("[jobs]"))
 {
     LedgerWorld world(3);
