Replace a backup candidate that does not answer

Cause: with loss in one direction, a primary hears the heartbeats of a candidate that receives nothing. It waited for that candidate without end, and admitted nothing. A replaced primary noticed its replacement only after up to 5 s. Change: a candidate that acknowledges nothing for 2 s is replaced by the next one, and a primary whose replication gets no answer reads its record again. Conclusion: fixed in the ledger; the integration test with loss in one direction was not run here.

--- a/libs/jobs/include/balsammill/jobs/ShardRole.h
+++ b/libs/jobs/include/balsammill/jobs/ShardRole.h
@@ -42,6 +42,9 @@
     Duration takeoverDelay { std::chrono::seconds(1) };
     /// After this time, an entry takes over even if another one ranks before it.
     Duration vacancyLimit { std::chrono::seconds(5) };
+    /// A candidate that acknowledges nothing for this time is replaced by the next one: with loss in one direction, its
+    /// heartbeats arrive here, but nothing arrives there.
+    Duration candidateTimeout { std::chrono::seconds(2) };
     /// Pause after a table request that failed, and between requests to take a shard over.
     Duration retryDelay { std::chrono::milliseconds(200) };
 };
@@ -74,8 +77,12 @@
     void recordWritten(const RecordWrite&, LedgerTime);
     /// A peer answered with this newer epoch.
     void heardEpoch(Epoch);
-    /// The candidate holds every record of the shard.
-    void setCandidateComplete(bool);
+    /// A record was sent to the candidate, which has to acknowledge it before it can become the backup.
+    void candidateIncomplete();
+    /// The candidate acknowledged something; complete if it now holds every record of the shard.
+    void candidateProgressed(bool complete, TimePoint now);
+    /// Replication gets no answer, so the record may have changed.
+    void doubtRecord(TimePoint now);
     /// The recorded primary asked this backup to take over.
     void handoverRequested(const ProcessId& from, Epoch);
     /// The named primary copies its records here for that epoch.
@@ -147,6 +154,7 @@
     bool stale_ { false };
     std::optional<ProcessId> candidate_;
     bool candidateComplete_ { false };
+    TimePoint candidateProgressAt_ {};
     std::optional<std::pair<Epoch, ProcessId>> staged_;
 };
 
--- a/libs/jobs/src/JobLedgerMessages.cpp
+++ b/libs/jobs/src/JobLedgerMessages.cpp
@@ -203,7 +203,7 @@
     if (outgoing.kind == MessageKind::Outcome && job)
         answerWaiters(*job);
     if (outgoing.kind == MessageKind::SnapshotPart)
-        own.role.setCandidateComplete(own.parts.empty());
+        own.role.candidateProgressed(own.parts.empty(), time.now);
     settle(outgoing.shard, time);
 }
 
@@ -286,6 +286,8 @@
             answerWaiters(*job);
         if (time.now < outgoing.resendAt)
             continue;
+        if (outgoing.kind != MessageKind::SnapshotPart)
+            shard(outgoing.shard).role.doubtRecord(time.now);
         outgoing.resendAt = time.now + options_.resendInterval;
         actions_.emplace_back(SendPeer { outgoing.to, outgoing.message });
     }
--- a/libs/jobs/src/JobLedgerShards.cpp
+++ b/libs/jobs/src/JobLedgerShards.cpp
@@ -261,7 +261,7 @@
             static_cast<std::uint64_t>(std::max<std::int64_t>(until - time.wallClockMs, 0)));
     }
     own.parts.insert(sendTracked(std::move(outgoing), time));
-    own.role.setCandidateComplete(false);
+    own.role.candidateIncomplete();
 }
 
 void JobLedger::copyToCandidate(ShardIndex index, const balsammill::internal::JobRecord& record, LedgerTime time)
--- a/libs/jobs/src/ShardRole.cpp
+++ b/libs/jobs/src/ShardRole.cpp
@@ -49,7 +49,7 @@
     // The conditional write can no longer take effect once the record has moved on.
     if (unresolvedWrite_ && record.epoch >= unresolvedWrite_->epoch)
         unresolvedWrite_.reset();
-    if (staged_ && staged_->first <= record.epoch && *staged_ != std::pair(record.epoch, record.primary))
+    if (staged_ && staged_->first <= record.epoch)
         staged_.reset();
 }
 
@@ -105,7 +105,19 @@
         readNeeded_ = true;
 }
 
-void ShardRole::setCandidateComplete(bool complete) { candidateComplete_ = complete; }
+void ShardRole::candidateIncomplete() { candidateComplete_ = false; }
+
+void ShardRole::candidateProgressed(bool complete, TimePoint now)
+{
+    candidateComplete_ = complete;
+    candidateProgressAt_ = now;
+}
+
+void ShardRole::doubtRecord(TimePoint now)
+{
+    if (now >= confirmedAt_ + options_.retryDelay)
+        readNeeded_ = true;
+}
 
 void ShardRole::handoverRequested(const ProcessId& from, Epoch epoch)
 {
--- a/libs/jobs/src/ShardRoleDecisions.cpp
+++ b/libs/jobs/src/ShardRoleDecisions.cpp
@@ -1,6 +1,7 @@
 #include "balsammill/jobs/ShardRole.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Balsammill {
@@ -119,17 +120,20 @@
         candidate_.reset();
         return std::nullopt;
     }
-    if (candidate_ && peers.isAlive(*candidate_) && !peers.isLeaving(*candidate_))
+    auto processes = peers.ranked(subject());
+    std::erase_if(processes, [&backup](const ProcessId& process) { return process == backup; });
+    const auto current = candidate_ ? std::find(processes.begin(), processes.end(), *candidate_) : processes.end();
+    const bool silent = now >= candidateProgressAt_ + options_.candidateTimeout;
+    if (current != processes.end() && (candidateComplete_ || !silent || processes.size() == 1))
         return std::nullopt;
     candidate_.reset();
     candidateComplete_ = false;
-    for (const auto& process : peers.ranked(subject())) {
-        if (process != backup) {
-            candidate_ = process;
-            return OfferSnapshot { process, Epoch { epoch().value + 1 } };
-        }
-    }
-    return std::nullopt;
+    if (processes.empty())
+        return std::nullopt;
+    const bool last = current == processes.end() || std::next(current) == processes.end();
+    candidate_ = last ? processes.front() : *std::next(current);
+    candidateProgressAt_ = now;
+    return OfferSnapshot { *candidate_, Epoch { epoch().value + 1 } };
 }
 
 std::optional<RoleAction> ShardRole::requestHandover(const DomainPeers& peers, TimePoint now)
--- a/libs/jobs/tests/JobFailoverTests.cpp
+++ b/libs/jobs/tests/JobFailoverTests.cpp
@@ -276,6 +276,45 @@
     CHECK(world.backup().has_value());
 }
 
+TEST_CASE("a candidate that is heard but cannot hear is replaced by the next one" * test_suite("[jobs]"))
+{
+    // The primary stayed without a pair, because it waited for this candidate without end.
+    LedgerWorld world(4);
+    world.settlePair();
+    const auto primary = *world.primary();
+    const auto backup = *world.backup();
+    std::optional<ProcessId> deaf;
+    world.dropped = [&](const SentMessage& sent) {
+        if (!deaf && sent.from == world.nodes[primary].id && sent.message.has_shard_snapshot())
+            deaf = sent.to;
+        return deaf && sent.from == world.nodes[primary].id && sent.to == *deaf;
+    };
+    world.stop(backup);
+    REQUIRE(world.runUntil([&] { return world.primary() == primary; }, 5s));
+    REQUIRE(deaf.has_value());
+    CHECK(world.tableRecord().backup.has_value());
+    CHECK(world.tableRecord().backup != deaf);
+}
+
+TEST_CASE("a primary that its backup no longer hears soon reads that it was replaced" * test_suite("[jobs]"))
+{
+    LedgerWorld world(3);
+    world.settlePair();
+    const auto old = *world.primary();
+    const auto successor = *world.backup();
+    // Loss in one direction: the backup misses the primary's heartbeats and takes over, but is alive for the primary.
+    world.dropped = [&](const SentMessage& sent) {
+        return sent.from == world.nodes[old].id && sent.to == world.nodes[successor].id;
+    };
+    world.nodes[successor].seen[world.nodes[old].id.vm.value] = Liveness::Dead;
+    world.publishViews();
+    const auto waiter = world.submit(old, "job-1");
+    REQUIRE(world.runUntil([&] { return world.answer(waiter) != nullptr; }, 1s));
+    CHECK(world.error(waiter).code == ErrorCode::Unavailable);
+    CHECK(world.tableRecord().primary == world.nodes[successor].id);
+    CHECK(world.starts("job-1") == 0);
+}
+
 TEST_CASE("a restart of everything takes the owners from the table and the history as unknown" * test_suite("[jobs]"))
 {
     LedgerWorld world(3);
