Test connections that do not speak the peer protocol

Cause: the receiver must survive clients that send HTTP, half a message or an absurd length.

Conclusion: such connections neither stop nor block the receivers.

--- a/libs/peer/tests/PeerTransportTests.cpp
+++ b/libs/peer/tests/PeerTransportTests.cpp
@@ -3,6 +3,8 @@
 #include "balsammill/base/Units.h"
 #include "balsammill/peer/EnvelopeCodec.h"
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <doctest/doctest.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -199,6 +201,24 @@
     CHECK(waitUntil([&] { return a.receivedCount() == 2; }));
 }
 
+// Guards against a receiver that is stopped, or blocked for others, by a client that does not speak the protocol.
+TEST_CASE("Connections that do not speak the protocol or stop in the middle of a message harm nobody")
+{
+    Node a("a", 1);
+    const Poco::Net::SocketAddress address(a.address().value);
+    const std::string nngHello("\0SP\0\0\x50\0\0", 8);
+    std::vector<Poco::Net::StreamSocket> clients;
+    for (const std::string& bytes : { std::string("GET / HTTP/1.1\r\n\r\n"), nngHello,
+             nngHello + std::string("\0\0\0\0\0\0\x10\0half", 12), nngHello + std::string(8, '\xff') }) {
+        clients.emplace_back(address);
+        clients.back().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+    RawSender raw(a.address());
+    raw.send(sealed(5, 1));
+    CHECK(waitUntil([&] { return a.receivedCount() == 1; }));
+    CHECK(a.transport.counters().received == 1);
+}
+
 // Guards against a handler's exception that ends the receiver thread.
 TEST_CASE("A handler that throws does not stop the receivers")
 {
