Close peer sockets with a time limit

Cause: with the asan preset the garbage test hung in nng_close once in 28 runs of the suite, and under load in 2 of 6 parallel series (at most 60 runs each). The hanging call belonged to a socket whose connection the other side had closed in the middle of a message. Closing the dialer first did not help (2 of 6 series hung again).

Change: sockets are closed on a thread of their own with a limit, after which they are given up with a warning.

Conclusion: neither the control loop nor a planned stop can hang in nng_close.

--- a/libs/peer/src/PeerLink.cpp
+++ b/libs/peer/src/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "PeerLink.h"
 
+#include "SocketClose.h"
 #include "balsammill/base/Log.h"
 
 #include <nng/protocol/pipeline0/push.h>
@@ -16,6 +17,7 @@
 
 // Messages that wait for a connection's write. A peer that does not read fills this and further sends are refused.
 constexpr int queuedMessages = 1024;
+constexpr Duration closeLimit = std::chrono::milliseconds(200);
 constexpr nng_duration minReconnectMs = 50;
 constexpr nng_duration maxReconnectMs = 500;
 
@@ -92,7 +94,7 @@
 
 PeerLink::~PeerLink()
 {
-    nng_close(socket_);
+    closeSocket(socket_, closeLimit);
     callbackTargets().remove(callbackKey_);
 }
 
--- a/libs/peer/src/PeerTransport.cpp
+++ b/libs/peer/src/PeerTransport.cpp
@@ -2,6 +2,7 @@
 
 #include "PeerLink.h"
 #include "SenderRegistry.h"
+#include "SocketClose.h"
 #include "balsammill/base/Log.h"
 #include "balsammill/peer/EnvelopeCodec.h"
 
@@ -23,6 +24,7 @@
 // nng closes a connection whose message exceeds its limit, without a count. With this margin a message slightly over
 // the project's limit is received, counted and dropped.
 constexpr std::size_t receiveMargin = 64 * 1024;
+constexpr Duration listenerCloseLimit = std::chrono::seconds(1);
 // nng cannot report when its queues are empty, so stop() leaves recent messages this time to get out.
 constexpr Duration sendDrainTime = std::chrono::milliseconds(200);
 
@@ -312,7 +314,7 @@
         detail_->running = false;
         for (auto& receiver : detail_->receivers)
             receiver.join();
-        nng_close(detail_->listener);
+        Balsammill::Detail::closeSocket(detail_->listener, listenerCloseLimit);
         detail_->receivers.clear();
     }
     std::this_thread::sleep_until(detail_->lastSendAt.load() + sendDrainTime);
