--- a/standin/LoadClass.cpp
+++ b/standin/LoadClass.cpp
@@ -23,7 +23,7 @@
         const auto separator = field.find('=');
         const auto key = field.substr(0, separator);
         if (separator == std::string::npos || std::find(known.begin(), known.end(), key) == known.end())
-            throw std::invalid_argument("unknown field \"" + field + "\" in class: " + text);
+            throw std::invalid_argument("unknown field \"" + field + "\"");
         fields[key] = field.substr(separator + 1);
     }
     return fields;
