--- a/standin/LoadReport.cpp
+++ b/standin/LoadReport.cpp
@@ -95,7 +95,11 @@
         .idealMs = inMilliseconds(ideal),
         .maxSendDelayMs = inMilliseconds(result.maxSendDelay) };
     std::vector<double> responses;
+    std::size_t completedInRange = 0;
     for (const auto& sample : result.samples) {
+        const auto answeredAt = sample.arrival + sample.response;
+        if (sample.outcome == CallOutcome::Completed && answeredAt >= range.from && answeredAt < range.length)
+            ++completedInRange;
         if (sample.arrival < range.from)
             continue;
         ++summary.arrivals;
@@ -104,7 +108,7 @@
             responses.push_back(inMilliseconds(sample.response));
     }
     summary.completedPerSecond
-        = static_cast<double>(responses.size()) / std::chrono::duration<double>(range.length - range.from).count();
+        = static_cast<double>(completedInRange) / std::chrono::duration<double>(range.length - range.from).count();
     summary.responseMs = percentilesOf(responses);
     if (ideal > Duration::zero()) {
         for (auto& response : responses)
--- a/standin/LoadReport.h
+++ b/standin/LoadReport.h
@@ -31,6 +31,7 @@
     Percentiles responseMs;
     Percentiles slowdown;
     double idealMs { 0 };
+    /// By the time of the answer, so that a backlog at the end of the load does not count.
     double completedPerSecond { 0 };
     double maxSendDelayMs { 0 };
 };
--- a/standin/tests/LoadTests.cpp
+++ b/standin/tests/LoadTests.cpp
@@ -110,6 +110,22 @@
     CHECK(summary.slowdown.p50 >= 1);
 }
 
+// Guards against a rate that counts the backlog that is worked off after the end of the load.
+TEST_CASE("The rate counts answers within the reported time")
+{
+    const LoadClass load { .name = "a", .method = MethodName("t.S/Do"), .rate = 1 };
+    const auto sampleAt = [](int arrivalMs, int responseMs) {
+        return LoadSample { std::chrono::milliseconds(arrivalMs), std::chrono::milliseconds(responseMs), {} };
+    };
+    const LoadClassResult result {
+        .samples = { sampleAt(0, 900), sampleAt(500, 600), sampleAt(2500, 400), sampleAt(2500, 600) }, .causes = {}
+    };
+    const ReportRange range { .from = std::chrono::seconds(1), .length = std::chrono::seconds(3) };
+    const auto summary = summarize(load, std::chrono::milliseconds(100), result, range);
+    CHECK(summary.arrivals == 2);
+    CHECK(summary.completedPerSecond == 1);
+}
+
 // Guards against percentiles that no call had.
 TEST_CASE("Percentiles are measured values")
 {
