--- a/tests/integration/EntryFailureTests.cpp
+++ b/tests/integration/EntryFailureTests.cpp
@@ -105,11 +105,12 @@
     REQUIRE(primary != nullptr);
     auto& other = *(primary == &deployment.entries()[1] ? &deployment.entries()[2] : &deployment.entries()[1]);
     primary->process->signal(SIGSTOP);
+    balsammill::v1::JobResult whilePaused;
     const bool replaced = waitUntil(in(20s), [&] {
-        return parseResult(submitUntilAnswered(deployment, other, makeJob("while-paused", 5, "malaybalay"))).state()
-            == balsammill::v1::JOB_STATE_COMPLETE;
+        whilePaused = parseResult(submitUntilAnswered(deployment, other, makeJob("while-paused", 5, "malaybalay")));
+        return whilePaused.state() == balsammill::v1::JOB_STATE_COMPLETE;
     });
-    CHECK(replaced);
+    CHECK_MESSAGE(replaced, whilePaused.error_message());
     primary->process->signal(SIGCONT);
     const auto result = parseResult(submitUntilAnswered(deployment, other, job));
     submitter.join();
