Repeat a write in doubt even if other causes ask for a read

Change: a write in doubt or in conflict needs one read back; after that the write is repeated whatever else wants a read.

--- a/libs/jobs/include/balsammill/jobs/ShardRole.h
+++ b/libs/jobs/include/balsammill/jobs/ShardRole.h
@@ -141,6 +141,8 @@
     /// copy may still take effect.
     std::optional<ShardRecord> unresolvedWrite_;
     std::optional<std::string> writeTag_;
+    /// True until the table was read after a write whose answer was lost.
+    bool readBackNeeded_ { false };
     std::optional<TimePoint> judgeFrom_;
     TimePoint confirmedAt_ {};
     TimePoint nextTableRequestAt_ {};
--- a/libs/jobs/src/ShardRole.cpp
+++ b/libs/jobs/src/ShardRole.cpp
@@ -60,6 +60,7 @@
         adopt(found->record, found->tag, time);
         confirmedAt_ = time.now;
         readNeeded_ = false;
+        readBackNeeded_ = false;
         stale_ = false;
         if (unresolvedWrite_ || superseded())
             nextTableRequestAt_ = time.now + options_.retryDelay;
@@ -68,6 +69,7 @@
     if (std::holds_alternative<RecordMissing>(result) && !record_) {
         missing_ = true;
         readNeeded_ = false;
+        readBackNeeded_ = false;
         confirmedAt_ = time.now;
         if (unresolvedWrite_)
             nextTableRequestAt_ = time.now + options_.retryDelay;
@@ -89,10 +91,12 @@
         // Another process raised the epoch.
         heardEpoch_ = std::max(heardEpoch_, write.epoch);
         readNeeded_ = true;
+        readBackNeeded_ = true;
     } else if (std::holds_alternative<RecordInDoubt>(result)) {
         if (write.epoch > epoch())
             unresolvedWrite_ = write;
         readNeeded_ = true;
+        readBackNeeded_ = true;
     } else {
         nextTableRequestAt_ = time.now + options_.retryDelay;
     }
--- a/libs/jobs/src/ShardRoleDecisions.cpp
+++ b/libs/jobs/src/ShardRoleDecisions.cpp
@@ -63,8 +63,9 @@
 
 std::optional<RoleAction> ShardRole::decideTableRequest(const DomainPeers& peers, LedgerTime time)
 {
+    // One read back, then the write again; other reasons to read must not keep it from being repeated.
     if (unresolvedWrite_)
-        return readNeeded_ ? startRead() : startWrite(*unresolvedWrite_, writeTag_);
+        return readBackNeeded_ ? startRead() : startWrite(*unresolvedWrite_, writeTag_);
     if (superseded() || (!record_ && !missing_))
         return startRead();
     std::optional<RoleAction> action;
