Never call a job not-run without asking its home

A draining or leaving entry answered in the same way. Change: refusals that do not ask the job's home say may-have-run for job calls and not-run for others. Tests share one check for repeated starts; lint findings of the tests corrected.

--- a/libs/entry/include/balsammill/entry/RequestPath.h
+++ b/libs/entry/include/balsammill/entry/RequestPath.h
@@ -35,6 +35,10 @@
     /// Answers one call, or throws the RpcError that the caller is told.
     RpcAnswer handle(const RpcRequest&);
 
+    /// Verdict of a request that this process refuses without asking the job's home: an earlier submission of the same
+    /// job may have run by way of another entry.
+    static Verdict verdictOfRefusal(const MethodName&);
+
 private:
     RpcAnswer handleJobCall(const RpcRequest&, const ActiveConfig&);
     DispatchTask checkServiceCall(const RpcRequest&, const ActiveConfig&, const std::string& callId);
--- a/libs/entry/src/ControlLoop.cpp
+++ b/libs/entry/src/ControlLoop.cpp
@@ -68,7 +68,7 @@
 
 } // namespace
 
-ControlLoop::ControlLoop(ControlLoopOptions options)
+ControlLoop::ControlLoop(const ControlLoopOptions& options)
     : options_(options)
     , table_({ .self = options.self, .ownDomain = options.settings.failureDomain })
 {
--- a/libs/entry/src/ControlLoop.h
+++ b/libs/entry/src/ControlLoop.h
@@ -48,7 +48,7 @@
 /// One thread ticks; a second one talks to the platform, so that a slow platform delays no heartbeat.
 class ControlLoop {
 public:
-    explicit ControlLoop(ControlLoopOptions);
+    explicit ControlLoop(const ControlLoopOptions&);
     ~ControlLoop();
 
     void start();
--- a/libs/entry/src/EntryServer.cpp
+++ b/libs/entry/src/EntryServer.cpp
@@ -130,6 +130,7 @@
           = [this] { return Balsammill::Detail::reportState(self, config, *members.load(), dispatcher, jobs); } })
     , callerServer({ .listenAddress = options.callerAddress,
           .maxConnections = options.maxConnections,
+          .drainVerdict = RequestPath::verdictOfRefusal,
           .handler = [this](const RpcRequest& request) { return requestPath.handle(request); },
           .pages = { { "/healthz", [] { return PageAnswer { .body = "ok\n" }; } },
               { "/readyz", [this] { return readiness(); } } } })
@@ -214,8 +215,8 @@
 EntryPorts EntryServer::start()
 {
     auto& d = *detail_;
-    d.dispatcher.setForwarder([&d](const DispatchTask& task, DispatchCompletion completion) {
-        return d.forwarding.forward(task, std::move(completion));
+    d.dispatcher.setForwarder([&d](const DispatchTask& task, const DispatchCompletion& completion) {
+        return d.forwarding.forward(task, completion);
     });
     d.dispatcher.start();
     d.transport.start();
--- a/libs/entry/src/RequestPath.cpp
+++ b/libs/entry/src/RequestPath.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::string_view jobsServicePrefix = "balsammill.v1.Jobs/";
+bool isJobMethod(const MethodName& method) { return method.value.starts_with(jobsServicePrefix); }
+
 constexpr Duration fallbackTimeout = std::chrono::seconds(10);
 // A caller's longer timeout is cut to this, so that a forgotten call cannot hold a thread for ever.
 constexpr Duration maxTimeout = std::chrono::minutes(10);
@@ -27,6 +29,13 @@
         { .code = code, .message = std::move(message), .verdict = Verdict::NotRun, .retryAfter = retryAfter });
 }
 
+[[noreturn]] void throwUnavailable(const RpcRequest& request, std::string message)
+{
+    throw RpcError({ .code = ErrorCode::Unavailable,
+        .message = std::move(message),
+        .verdict = RequestPath::verdictOfRefusal(request.method) });
+}
+
 const balsammill::v1::ServiceConfig& requireRunningService(const ActiveConfig& config, const ServiceName& service)
 {
     for (const auto& candidate : config.content->services()) {
@@ -83,6 +92,11 @@
 {
 }
 
+Verdict RequestPath::verdictOfRefusal(const MethodName& method)
+{
+    return isJobMethod(method) ? Verdict::MayHaveRun : Verdict::NotRun;
+}
+
 RpcAnswer RequestPath::handle(const RpcRequest& request)
 {
     auto callId = options_.callIdPrefix + std::to_string(nextCallNumber_.fetch_add(1, std::memory_order_relaxed));
@@ -93,10 +107,10 @@
     bool dispatched = false;
     try {
         if (!config)
-            refuse(ErrorCode::Unavailable, "no configuration is in force yet");
+            throwUnavailable(request, "no configuration is in force yet");
         if (options_.members.load()->selfLeaving)
-            refuse(ErrorCode::Unavailable, "this entry is leaving; use another one");
-        if (request.method.value.starts_with(jobsServicePrefix))
+            throwUnavailable(request, "this entry is leaving; use another one");
+        if (isJobMethod(request.method))
             return handleJobCall(request, *config);
         auto task = checkServiceCall(request, *config, callId);
         dispatched = true; // From here on the dispatcher records the outcome.
--- a/libs/rpc/include/balsammill/rpc/ConnectServer.h
+++ b/libs/rpc/include/balsammill/rpc/ConnectServer.h
@@ -18,6 +18,8 @@
     /// A caller that sends its headers or body slower than this is cut off.
     Duration receiveTimeout { std::chrono::seconds(10) };
     Duration keepAliveTimeout { std::chrono::seconds(60) };
+    /// Verdict of a call that is refused because the server is draining; not-run if empty.
+    std::function<Verdict(const MethodName&)> drainVerdict {};
     RpcHandler handler {};
     /// GET pages by path.
     std::map<std::string, PageHandler> pages {};
--- a/libs/rpc/src/ServerConnection.cpp
+++ b/libs/rpc/src/ServerConnection.cpp
@@ -109,8 +109,12 @@
 
 bool ServerConnection::serveCall(RequestHead head)
 {
-    if (state_.draining)
-        return refuse(httpStatus(ErrorCode::Unavailable), unavailable("this entry is draining"));
+    if (state_.draining) {
+        auto refusal = unavailable("this entry is draining");
+        if (state_.options.drainVerdict)
+            refusal.verdict = state_.options.drainVerdict(head.request.method);
+        return refuse(httpStatus(ErrorCode::Unavailable), refusal);
+    }
     readBody(head, head.request.body);
     RpcAnswer answer;
     try {
--- a/tests/integration/support/Deployment.cpp
+++ b/tests/integration/support/Deployment.cpp
@@ -335,6 +335,16 @@
     return counts;
 }
 
+std::string Deployment::repeatedStarts() const
+{
+    std::string text;
+    for (const auto& [task, starts] : startCounts()) {
+        if (starts > 1)
+            text += task + " started " + std::to_string(starts) + " times\n";
+    }
+    return text;
+}
+
 balsammill::v1::SubmitRequest makeJob(const std::string& id, int tasks, const std::string& home)
 {
     balsammill::v1::SubmitRequest job;
--- a/tests/integration/support/Deployment.h
+++ b/tests/integration/support/Deployment.h
@@ -90,6 +90,8 @@
 
     /// Starts of all tasks at all upstreams, by task id.
     std::map<std::string, int> startCounts() const;
+    /// Tasks that started more than once, with their counts, as text; empty if there are none.
+    std::string repeatedStarts() const;
 
 private:
     void startPlatform();
