Push a configuration once, and refuse changes that move a job's home

Cause: every entry that took a new configuration pushed it to all others: for 110 entries and 20 KB computed as 2.2 MB per node and change. Adding a failure domain moves the derived home of a resubmitted job, which could start again. Change: only the accepting entry pushes; others fetch once per 100 ms when a heartbeat shows a higher version. The set of failure domains is fixed like the number of shards. A member view is published only if it changed.

--- a/libs/config/src/ConfigStore.cpp
+++ b/libs/config/src/ConfigStore.cpp
@@ -6,6 +6,8 @@
 
 #include <limits>
 
+#include <set>
+
 namespace Balsammill {
 
 namespace {
@@ -25,13 +27,31 @@
     throw ConfigError(faults.take());
 }
 
-// A job's shard is hash(id) modulo this number. After a change, a resubmitted job would reach another shard, which
-// does not know it and would start its tasks again.
-void requireSameShards(const DeploymentConfig& current, const DeploymentConfig& next)
+std::set<std::string> domainsOf(const DeploymentConfig& config)
+{
+    return { config.failure_domains().begin(), config.failure_domains().end() };
+}
+
+std::string joined(const std::set<std::string>& names)
+{
+    std::string text;
+    for (const auto& name : names)
+        text += (text.empty() ? "" : ", ") + name;
+    return text;
+}
+
+// A job's home is derived from its id and the failure domains, and its shard is hash(id) modulo the number of shards.
+// After a change, a resubmitted job would reach another shard, which does not know it and would start its tasks again.
+void requireSameHomes(const DeploymentConfig& current, const DeploymentConfig& next)
 {
-    if (current.version() != 0 && current.shards_per_domain() != next.shards_per_domain())
+    if (current.version() == 0)
+        return;
+    if (current.shards_per_domain() != next.shards_per_domain())
         refuse("shards_per_domain", std::to_string(next.shards_per_domain()),
             "cannot be changed from " + std::to_string(current.shards_per_domain()) + " while the deployment runs");
+    if (domainsOf(current) != domainsOf(next))
+        refuse("failure_domains", joined(domainsOf(next)),
+            "cannot be changed from " + joined(domainsOf(current)) + " while the deployment runs");
 }
 
 } // namespace
@@ -76,7 +96,7 @@
     next.set_version(expected.value + 1);
     next.set_change_id(changeId);
     buildActiveConfig(next);
-    requireSameShards(base, next);
+    requireSameHomes(base, next);
     return ConfigPrepared { .next = std::move(next) };
 }
 
--- a/libs/config/tests/ConfigStoreTests.cpp
+++ b/libs/config/tests/ConfigStoreTests.cpp
@@ -97,12 +97,14 @@
     CHECK(next.version() == 9);
 }
 
-// Guards against changes of things that do not exist, and against a change of the shard count, after which a
-// resubmitted job would start again in another shard.
+// Guards against changes of things that do not exist, and against a change of the shard count or of the failure
+// domains, after which a resubmitted job would start again in another shard.
 TEST_CASE("Impossible changes are refused with the field they concern")
 {
     auto fewerShards = validConfig(5);
     fewerShards.set_shards_per_domain(8);
+    auto moreDomains = validConfig(5);
+    moreDomains.add_failure_domains("added");
     struct {
         ConfigChange change;
         std::string field;
@@ -112,6 +114,7 @@
         { DrainVm { VmName("") }, "vm" },
         { UndrainVm { VmName("vm 1") }, "vm" },
         { ReplaceConfig { fewerShards }, "shards_per_domain" },
+        { ReplaceConfig { moreDomains }, "failure_domains" },
         { ReplaceConfig { {} }, "failure_domains" },
     };
     const auto store = storeAt(5);
--- a/libs/entry/include/balsammill/entry/ConfigService.h
+++ b/libs/entry/include/balsammill/entry/ConfigService.h
@@ -51,7 +51,7 @@
         const ConfigChange&, std::optional<ConfigVersion> expected, TimePoint deadline);
 
     void handlePeerMessage(const ProcessId& sender, const balsammill::internal::PeerMessage&);
-    /// Repairs a difference that a heartbeat shows: fetches a newer version, or pushes to an entry with an older one.
+    /// Fetches a newer version that a heartbeat shows.
     void observeVersion(const VmName&, ConfigVersion);
 
 private:
@@ -64,6 +64,7 @@
     void adopt(const balsammill::v1::DeploymentConfig&);
     void publish(const std::shared_ptr<const ActiveConfig>&);
     void push(const VmName&);
+    void pushToAll();
     balsammill::v1::ApplyConfigResponse waitUntilInForce(ConfigVersion, TimePoint deadline) const;
 
     ConfigServiceOptions options_;
@@ -71,6 +72,8 @@
     ConfigStore store_;
     /// What store_ holds, for readers on the request path.
     RcuCell<ActiveConfig> active_;
+    std::mutex fetchMutex_;
+    TimePoint nextFetchAt_;
 };
 
 } // namespace Balsammill
--- a/libs/entry/src/ConfigService.cpp
+++ b/libs/entry/src/ConfigService.cpp
@@ -19,6 +19,7 @@
 
 constexpr auto configKey = "config/current";
 constexpr Duration retryInterval = std::chrono::milliseconds(100);
+constexpr Duration fetchInterval = std::chrono::milliseconds(100);
 constexpr Duration inForcePollInterval = std::chrono::milliseconds(20);
 
 [[noreturn]] void throwUnavailable(const std::string& cause, Verdict verdict)
@@ -104,6 +105,7 @@
         }
         logInfo(LogPart::Config, "version " + std::to_string(next.version()) + " accepted");
         adopt(next);
+        pushToAll();
         return waitUntilInForce(ConfigVersion(next.version()), deadline);
     }
 }
@@ -175,6 +177,12 @@
     logInfo(LogPart::Config, "version " + version + " in force");
     options_.timeline.record(EventKind::Configuration, "config", "version " + version);
     options_.adopted(*next);
+}
+
+// Only the entry that accepted a change pushes it. If every entry passed it on, a change would cost each of n entries n
+// messages; what a push misses is repaired by the versions in heartbeats and by the table.
+void ConfigService::pushToAll()
+{
     if (const auto members = options_.members.load()) {
         for (const auto& member : members->members)
             push(member.id.vm);
@@ -210,13 +218,19 @@
 void ConfigService::observeVersion(const VmName& member, ConfigVersion theirs)
 {
     const auto own = version();
-    if (theirs < own) {
-        push(member);
-    } else if (own < theirs) {
-        balsammill::internal::PeerMessage message;
-        message.mutable_config_fetch()->set_have_version(own.value);
-        options_.send(member, message);
+    if (theirs <= own)
+        return;
+    {
+        // Heartbeats of many entries show a new version at the same time; one answer is enough.
+        std::lock_guard lock(fetchMutex_);
+        const auto now = monotonicNow();
+        if (now < nextFetchAt_)
+            return;
+        nextFetchAt_ = now + fetchInterval;
     }
+    balsammill::internal::PeerMessage message;
+    message.mutable_config_fetch()->set_have_version(own.value);
+    options_.send(member, message);
 }
 
 balsammill::v1::ApplyConfigResponse ConfigService::waitUntilInForce(ConfigVersion version, TimePoint deadline) const
--- a/libs/entry/src/ControlLoop.cpp
+++ b/libs/entry/src/ControlLoop.cpp
@@ -188,6 +188,9 @@
         table_.setSelfLeaving(leaving_.load());
         next = std::make_shared<const MemberView>(table_.view(now));
     }
+    // Storing waits for a grace period of all readers.
+    if (*previous == *next)
+        return false;
     options_.members.store(next);
     if (sameStanding(*previous, *next))
         return false;
--- a/libs/membership/include/balsammill/membership/MemberView.h
+++ b/libs/membership/include/balsammill/membership/MemberView.h
@@ -22,6 +22,8 @@
     Slots freeSlots;
     Slots totalSlots;
     Duration expectedWait {};
+
+    bool operator==(const ReportedLoad&) const = default;
 };
 
 /// Another entry process, as this one sees it.
@@ -33,6 +35,8 @@
     bool leaving { false };
     ConfigVersion configVersion;
     std::vector<ReportedLoad> loads;
+
+    bool operator==(const Member&) const = default;
 };
 
 /// Immutable view of the deployment's entry processes, without this one.
@@ -44,6 +48,8 @@
     bool selfSuspect { false };
     /// True once this process is leaving.
     bool selfLeaving { false };
+
+    bool operator==(const MemberView&) const = default;
 };
 
 } // namespace Balsammill
