Convert verdicts in one place and make every change of a fault run differ

Change: VerdictMessage holds the conversion; StateReport uses the policy's names; log lines before configureLogging() are printed. The fault run drains another VM each time, so that every accepted change has a version of its own and the check stays as strict.

--- a/libs/base/src/Log.cpp
+++ b/libs/base/src/Log.cpp
@@ -11,6 +11,13 @@
 // Passed as an argument, so that a '%' in the text is never read as a format.
 constexpr auto loggerId = "balsammill";
 
+// Programs that never call configureLogging(), such as tests, would print a complaint instead of their lines.
+void registerLogger()
+{
+    static el::Logger* const logger = el::Loggers::getLogger(loggerId);
+    static_cast<void>(logger);
+}
+
 el::Level toEasyLevel(LogLevel level)
 {
     switch (level) {
@@ -76,13 +83,14 @@
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     configuration.setGlobally(
         el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level " + std::string(vmName) + " %msg");
-    el::Loggers::getLogger(loggerId);
+    registerLogger();
     el::Loggers::reconfigureLogger(loggerId, configuration);
     el::Loggers::setLoggingLevel(toEasyLevel(minimum));
 }
 
 void logMessage(LogPart part, LogLevel level, std::string_view text)
 {
+    registerLogger();
     const auto prefix = std::string("[") + std::string(nameOf(part)) + "] ";
     switch (level) {
     case LogLevel::Debug:
--- a/libs/entry/src/JobRequest.cpp
+++ b/libs/entry/src/JobRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "balsammill/config/ActiveConfig.h"
 #include "balsammill/jobs/HomePlacement.h"
+#include "balsammill/rpc/VerdictMessage.h"
 #include "balsammill/schema/Schema.h"
 
 #include <algorithm>
@@ -137,7 +138,7 @@
     failure.set_code(std::string(nameOf(error.code)));
     failure.set_message(error.message);
     auto& detail = *failure.mutable_detail();
-    detail.set_verdict(static_cast<balsammill::v1::Verdict>(static_cast<int>(error.verdict) + 1));
+    detail.set_verdict(toProto(error.verdict));
     detail.set_field(error.field);
     const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(error.retryAfter);
     detail.set_retry_after_ms(static_cast<std::uint32_t>(retryAfter.count()));
@@ -146,13 +147,11 @@
 
 RpcErrorDetails fromFailure(const balsammill::internal::RpcFailure& failure)
 {
-    RpcErrorDetails error { parseErrorCode(failure.code()).value_or(ErrorCode::Internal), failure.message(),
-        Verdict::MayHaveRun, failure.detail().field(), std::chrono::milliseconds(failure.detail().retry_after_ms()) };
-    if (failure.detail().verdict() == balsammill::v1::VERDICT_NOT_RUN)
-        error.verdict = Verdict::NotRun;
-    else if (failure.detail().verdict() == balsammill::v1::VERDICT_RAN)
-        error.verdict = Verdict::Ran;
-    return error;
+    return { .code = parseErrorCode(failure.code()).value_or(ErrorCode::Internal),
+        .message = failure.message(),
+        .verdict = fromProto(failure.detail().verdict()),
+        .field = failure.detail().field(),
+        .retryAfter = std::chrono::milliseconds(failure.detail().retry_after_ms()) };
 }
 
 } // namespace Balsammill::Detail
--- a/libs/entry/src/JobRunner.cpp
+++ b/libs/entry/src/JobRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "balsammill/config/ActiveConfig.h"
 #include "balsammill/entry/Dispatcher.h"
+#include "balsammill/rpc/VerdictMessage.h"
 #include "balsammill/schema/Schema.h"
 
 #include <optional>
@@ -13,19 +14,6 @@
 
 using balsammill::v1::JobResult;
 
-balsammill::v1::Verdict toProto(Verdict verdict)
-{
-    switch (verdict) {
-    case Verdict::NotRun:
-        return balsammill::v1::VERDICT_NOT_RUN;
-    case Verdict::MayHaveRun:
-        return balsammill::v1::VERDICT_MAY_HAVE_RUN;
-    case Verdict::Ran:
-        return balsammill::v1::VERDICT_RAN;
-    }
-    return balsammill::v1::VERDICT_MAY_HAVE_RUN;
-}
-
 } // namespace
 
 struct JobRunner::Run {
--- a/libs/entry/src/RequestPath.cpp
+++ b/libs/entry/src/RequestPath.cpp
@@ -6,6 +6,7 @@
 #include "balsammill/entry/JobService.h"
 #include "balsammill/observe/Metrics.h"
 #include "balsammill/observe/Timeline.h"
+#include "balsammill/rpc/VerdictMessage.h"
 #include "balsammill/schema/Schema.h"
 #include "balsammill/v1/config.pb.h"
 #include "balsammill/v1/jobs.pb.h"
@@ -36,14 +37,14 @@
         .verdict = RequestPath::verdictOfRefusal(request.method) });
 }
 
-const balsammill::v1::ServiceConfig& requireRunningService(const ActiveConfig& config, const ServiceName& service)
+void requireRunningService(const ActiveConfig& config, const ServiceName& service)
 {
     for (const auto& candidate : config.content->services()) {
         if (candidate.name() != service.value)
             continue;
         if (candidate.stopped())
             refuse(ErrorCode::Unavailable, "service " + service.value + " is stopped by an operator");
-        return candidate;
+        return;
     }
     refuse(ErrorCode::Unimplemented, "service " + service.value + " is not part of this deployment");
 }
@@ -80,9 +81,7 @@
 
 Verdict verdictOf(const balsammill::v1::JobResult& result)
 {
-    if (result.state() == balsammill::v1::JOB_STATE_COMPLETE || result.verdict() == balsammill::v1::VERDICT_RAN)
-        return Verdict::Ran;
-    return result.verdict() == balsammill::v1::VERDICT_NOT_RUN ? Verdict::NotRun : Verdict::MayHaveRun;
+    return result.state() == balsammill::v1::JOB_STATE_COMPLETE ? Verdict::Ran : fromProto(result.verdict());
 }
 
 } // namespace
--- a/libs/entry/src/StateReport.cpp
+++ b/libs/entry/src/StateReport.cpp
@@ -23,21 +23,6 @@
     return "unreachable";
 }
 
-const char* healthName(UpstreamHealth health)
-{
-    switch (health) {
-    case UpstreamHealth::Healthy:
-        return "healthy";
-    case UpstreamHealth::Ejected:
-        return "ejected";
-    case UpstreamHealth::Probing:
-        return "probing";
-    case UpstreamHealth::Leaving:
-        return "leaving";
-    }
-    return "ejected";
-}
-
 void addMember(balsammill::v1::StateResponse& response, const Member& member)
 {
     auto& row = *response.add_members();
@@ -59,7 +44,7 @@
         row.set_vm(upstream.vm.value);
         row.set_slots(upstream.slots.value);
         row.set_slots_in_use(upstream.slotsInUse.value);
-        row.set_health(healthName(upstream.health));
+        row.set_health(std::string(nameOf(upstream.health)));
         row.set_owned(true);
     }
 }
--- a/libs/entry/src/TaskForwarding.cpp
+++ b/libs/entry/src/TaskForwarding.cpp
@@ -4,6 +4,7 @@
 #include "ForwardSenderTable.h"
 #include "ForwardTargetChoice.h"
 #include "JobRequest.h"
+#include "balsammill/rpc/VerdictMessage.h"
 #include "balsammill/schema/Schema.h"
 
 #include <mutex>
@@ -27,19 +28,6 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, UINT32_MAX));
 }
 
-balsammill::v1::Verdict toProto(Verdict verdict)
-{
-    switch (verdict) {
-    case Verdict::NotRun:
-        return balsammill::v1::VERDICT_NOT_RUN;
-    case Verdict::MayHaveRun:
-        return balsammill::v1::VERDICT_MAY_HAVE_RUN;
-    case Verdict::Ran:
-        return balsammill::v1::VERDICT_RAN;
-    }
-    return balsammill::v1::VERDICT_MAY_HAVE_RUN;
-}
-
 PeerMessage forwardMessage(const DispatchTask& task, RequestId id, const ProcessId& receiver, TimePoint now)
 {
     PeerMessage message;
--- a/libs/rpc/src/ErrorBody.cpp
+++ b/libs/rpc/src/ErrorBody.cpp
@@ -1,5 +1,7 @@
 #include "ErrorBody.h"
 
+#include "balsammill/rpc/VerdictMessage.h"
+
 #include <balsammill/v1/call.pb.h>
 
 #include <Poco/Dynamic/Var.h>
@@ -21,19 +23,6 @@
 constexpr auto detailType = "balsammill.v1.CallError";
 constexpr std::size_t maxErrorDepth = 16;
 
-balsammill::v1::Verdict toProto(Verdict verdict)
-{
-    switch (verdict) {
-    case Verdict::NotRun:
-        return balsammill::v1::VERDICT_NOT_RUN;
-    case Verdict::MayHaveRun:
-        return balsammill::v1::VERDICT_MAY_HAVE_RUN;
-    case Verdict::Ran:
-        return balsammill::v1::VERDICT_RAN;
-    }
-    return balsammill::v1::VERDICT_MAY_HAVE_RUN;
-}
-
 /// Text that JSON can carry: bytes of invalid UTF-8 are replaced.
 std::string printable(const std::string& text)
 {
--- a/tests/faultrun/FaultInjector.h
+++ b/tests/faultrun/FaultInjector.h
@@ -50,6 +50,7 @@
     IntegrationTest::Deployment& deployment_;
     Records& records_;
     std::mt19937_64 random_;
+    int nextChange_ { 1 };
     std::vector<ActiveFault> active_;
     std::atomic<bool> stop_ { false };
     std::thread thread_;
