--- a/apps/balsammill/Commands.h
+++ b/apps/balsammill/Commands.h
@@ -13,6 +13,7 @@
 
 // Each adds its subcommand to the application and sets the action if the subcommand is chosen.
 void addServeCommand(CLI::App&, CommandAction&);
+void addNodeCommand(CLI::App&, CommandAction&);
 void addCheckCommand(CLI::App&, CommandAction&);
 void addCallCommand(CLI::App&, CommandAction&);
 void addSubmitCommand(CLI::App&, CommandAction&);
--- a/apps/balsammill/Main.cpp
+++ b/apps/balsammill/Main.cpp
@@ -15,6 +15,7 @@
 
     CommandAction action;
     addServeCommand(app, action);
+    addNodeCommand(app, action);
     addCheckCommand(app, action);
     addCallCommand(app, action);
     addSubmitCommand(app, action);
--- /dev/null
+++ b/libs/http/src/HttpClient.cpp
@@ -0,0 +1,259 @@
+#include "balsammill/http/HttpClient.h"
+
+#include "balsammill/http/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace Balsammill {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// A response larger than this is an error of the peer; the store's largest answer is 1 MB of rows in base64.
+constexpr std::uint64_t maxResponseBytes = 8ULL * 1024 * 1024;
+constexpr std::size_t readBlockBytes = 16ULL * 1024;
+
+std::string serialize(const HttpRequest& request, const std::string& defaultHost)
+{
+    std::string text;
+    text.reserve(256 + request.body.size());
+    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
+    text.append(request.host.empty() ? defaultHost : request.host).append("\r\n");
+    for (const auto& field : request.fields)
+        text.append(field.name).append(": ").append(field.value).append("\r\n");
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        text.append("Content-Type: application/json\r\nContent-Length: ");
+        text.append(std::to_string(request.body.size())).append("\r\n");
+    }
+    text.append("\r\n").append(request.body);
+    return text;
+}
+
+} // namespace
+
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection> {
+public:
+    Connection(asio::io_context& context, std::weak_ptr<HttpClient*> owner)
+        : socket_(context)
+        , timer_(context)
+        , owner_(std::move(owner))
+    {
+    }
+
+    void start(const NetworkAddress& address, std::string text, TimePoint deadline, HttpCallback callback)
+    {
+        text_ = std::move(text);
+        callback_ = std::move(callback);
+        bytesWritten_ = 0;
+        parser_.emplace();
+        parser_->body_limit(maxResponseBytes);
+        timer_.expires_at(deadline);
+        timer_.async_wait([self = shared_from_this()](error_code error) {
+            if (!error)
+                self->fail("timeout");
+        });
+        if (socket_.is_open()) {
+            write();
+            return;
+        }
+        socket_.async_connect(parseEndpoint(address), [self = shared_from_this()](error_code error) {
+            if (!self->callback_)
+                return;
+            if (error) {
+                self->fail(error.message());
+                return;
+            }
+            error_code ignored;
+            self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void abandon()
+    {
+        callback_ = nullptr;
+        close();
+    }
+
+    // True if an idle connection has been closed by the peer or has bytes that nobody asked for.
+    bool isStale()
+    {
+        error_code error;
+        socket_.non_blocking(true, error);
+        char byte = 0;
+        socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error != asio::error::would_block;
+    }
+
+    void close()
+    {
+        error_code ignored;
+        timer_.cancel();
+        socket_.close(ignored);
+    }
+
+private:
+    void write()
+    {
+        socket_.async_send(
+            asio::buffer(text_.data() + bytesWritten_, text_.size() - bytesWritten_),
+            [self = shared_from_this()](error_code error, std::size_t count) {
+                if (!self->callback_)
+                    return;
+                self->bytesWritten_ += count;
+                if (error)
+                    self->fail(error.message());
+                else if (self->bytesWritten_ < self->text_.size())
+                    self->write();
+                else
+                    self->read();
+            });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(asio::buffer(block_), [self = shared_from_this()](error_code error, std::size_t count) {
+            if (self->callback_)
+                self->onRead(error, count);
+        });
+    }
+
+    void onRead(error_code error, std::size_t count)
+    {
+        if (error) {
+            fail(error.message());
+            return;
+        }
+        pending_.append(block_.data(), count);
+        error_code parseError;
+        const auto used = parser_->put(asio::buffer(pending_), parseError);
+        pending_.erase(0, used);
+        // Header and body can need several calls, because the parser stops at the end of the header.
+        while (!parseError && !parser_->is_done() && !pending_.empty() && parser_->is_header_done()) {
+            const auto more = parser_->put(asio::buffer(pending_), parseError);
+            if (more == 0)
+                break;
+            pending_.erase(0, more);
+        }
+        if (parseError && parseError != http::error::need_more) {
+            fail(parseError.message());
+            return;
+        }
+        if (!parser_->is_done()) {
+            read();
+            return;
+        }
+        finish();
+    }
+
+    void finish()
+    {
+        auto message = parser_->release();
+        HttpResult result;
+        result.response.emplace();
+        result.response->status = message.result_int();
+        for (const auto& field : message.base())
+            result.response->fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        result.response->body = std::move(message.body());
+        timer_.cancel();
+        const bool reusable = message.keep_alive() && pending_.empty();
+        pending_.clear();
+        if (!reusable)
+            close();
+        auto callback = std::move(callback_);
+        callback_ = nullptr;
+        if (const auto owner = owner_.lock())
+            (*owner)->release(shared_from_this());
+        callback(std::move(result));
+    }
+
+    void fail(std::string reason)
+    {
+        close();
+        pending_.clear();
+        auto callback = std::move(callback_);
+        callback_ = nullptr;
+        if (const auto owner = owner_.lock())
+            (*owner)->release(shared_from_this());
+        if (callback)
+            callback({ .response = std::nullopt, .neverSent = bytesWritten_ == 0, .error = std::move(reason) });
+    }
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::weak_ptr<HttpClient*> owner_;
+    std::string text_;
+    std::size_t bytesWritten_ { 0 };
+    HttpCallback callback_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::array<char, readBlockBytes> block_;
+    std::string pending_;
+
+    friend class HttpClient;
+};
+
+HttpClient::HttpClient(asio::io_context& context, NetworkAddress address, std::size_t maxIdle)
+    : context_(context)
+    , address_(std::move(address))
+    , maxIdle_(maxIdle)
+    , self_(std::make_shared<HttpClient*>(this))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    self_.reset();
+    for (const auto& weak : busy_) {
+        if (const auto connection = weak.lock())
+            connection->abandon();
+    }
+    closeIdle();
+}
+
+void HttpClient::send(const HttpRequest& request, TimePoint deadline, HttpCallback callback)
+{
+    std::shared_ptr<Connection> connection;
+    while (!connection && !idle_.empty()) {
+        connection = std::move(idle_.back());
+        idle_.pop_back();
+        if (connection->isStale()) {
+            connection->close();
+            connection.reset();
+        }
+    }
+    if (!connection)
+        connection = std::make_shared<Connection>(context_, self_);
+    busy_.push_back(connection);
+    connection->start(address_, serialize(request, address_.value), deadline, std::move(callback));
+}
+
+void HttpClient::release(const std::shared_ptr<Connection>& connection)
+{
+    std::erase_if(busy_, [&](const auto& weak) { return weak.expired() || weak.lock() == connection; });
+    if (!connection->socket_.is_open())
+        return;
+    if (idle_.size() < maxIdle_)
+        idle_.push_back(connection);
+    else
+        connection->close();
+}
+
+void HttpClient::closeIdle()
+{
+    for (const auto& connection : idle_)
+        connection->close();
+    idle_.clear();
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/http/src/HttpServer.cpp
@@ -0,0 +1,329 @@
+#include "balsammill/http/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <stdexcept>
+
+namespace Balsammill {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBlockBytes = 8ULL * 1024;
+// Bytes that a client may send ahead of the response to its current request.
+constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
+
+std::string_view reasonPhrase(unsigned status)
+{
+    const auto text = http::obsolete_reason(static_cast<http::status>(status));
+    return { text.data(), text.size() };
+}
+
+std::string serialize(const HttpResponse& response, bool close)
+{
+    std::string text;
+    text.reserve(160 + response.body.size());
+    text.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+    text.append(reasonPhrase(response.status)).append("\r\n");
+    for (const auto& field : response.fields)
+        text.append(field.name).append(": ").append(field.value).append("\r\n");
+    if (!response.body.empty())
+        text.append("Content-Type: ").append(response.contentType).append("\r\n");
+    text.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+    if (close)
+        text.append("Connection: close\r\n");
+    text.append("\r\n").append(response.body);
+    return text;
+}
+
+} // namespace
+
+struct HttpServer::Shared {
+    HttpHandler handler;
+    HttpServerLimits limits;
+    bool draining { false };
+    bool stopped { false };
+    std::size_t openRequests { 0 };
+    std::unordered_set<Session*> sessions;
+};
+
+class HttpServer::Session : public HttpExchange, public std::enable_shared_from_this<HttpServer::Session> {
+public:
+    Session(asio::ip::tcp::socket socket, std::shared_ptr<Shared> shared)
+        : socket_(std::move(socket))
+        , timer_(socket_.get_executor())
+        , shared_(std::move(shared))
+    {
+        shared_->sessions.insert(this);
+    }
+
+    ~Session() override { shared_->sessions.erase(this); }
+
+    void start()
+    {
+        beginRequest();
+        read();
+    }
+
+    void respond(const HttpResponse& response) override
+    {
+        if (!handling_ || closed_)
+            return;
+        handling_ = false;
+        abandoned_ = nullptr;
+        --shared_->openRequests;
+        closeAfterWrite_ = closeAfterWrite_ || shared_->draining;
+        output_ = serialize(response, closeAfterWrite_);
+        written_ = 0;
+        write();
+    }
+
+    void onAbandoned(std::function<void()> callback) override { abandoned_ = std::move(callback); }
+
+    void close()
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        error_code ignored;
+        timer_.cancel();
+        socket_.close(ignored);
+        if (handling_) {
+            handling_ = false;
+            --shared_->openRequests;
+            if (auto abandoned = std::move(abandoned_))
+                abandoned();
+        }
+    }
+
+private:
+    void beginRequest()
+    {
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(shared_->limits.maxHeaderBytes));
+        parser_->body_limit(shared_->limits.maxBodyBytes);
+        requestStarted_ = false;
+        armTimer(shared_->limits.idleTimeout);
+    }
+
+    void armTimer(Duration timeout)
+    {
+        timer_.expires_after(timeout);
+        timer_.async_wait([weak = weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (!error && self && !self->handling_)
+                self->close();
+        });
+    }
+
+    // One read is always outstanding, so that a client that closes its connection is noticed while its request is handled.
+    void read()
+    {
+        if (closed_ || reading_ || pending_.size() > maxPipelinedBytes)
+            return;
+        reading_ = true;
+        socket_.async_read_some(asio::buffer(block_), [self = shared_from_this()](error_code error, std::size_t count) {
+            self->reading_ = false;
+            if (self->closed_)
+                return;
+            if (error) {
+                self->close();
+                return;
+            }
+            self->pending_.append(self->block_.data(), count);
+            self->parse();
+            self->read();
+        });
+    }
+
+    void parse()
+    {
+        if (handling_ || !output_.empty() || closed_ || pending_.empty())
+            return;
+        if (!requestStarted_) {
+            requestStarted_ = true;
+            armTimer(shared_->limits.requestTimeout);
+        }
+        error_code error;
+        do {
+            const auto used = parser_->put(asio::buffer(pending_), error);
+            pending_.erase(0, used);
+            if (used == 0)
+                break;
+        } while (!error && !parser_->is_done() && !pending_.empty());
+        if (error && error != http::error::need_more) {
+            reject(error);
+            return;
+        }
+        if (parser_->is_done())
+            handle();
+        else if (!error || error == http::error::need_more)
+            expectContinue();
+    }
+
+    void expectContinue()
+    {
+        if (!parser_->is_header_done() || continued_)
+            return;
+        const auto expect = parser_->get()[http::field::expect];
+        if (!boost::beast::iequals(expect, "100-continue"))
+            return;
+        continued_ = true;
+        static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        error_code ignored;
+        socket_.write_some(asio::buffer(interim.data(), interim.size()), ignored);
+    }
+
+    void reject(error_code error)
+    {
+        unsigned status = 400;
+        if (error == http::error::header_limit)
+            status = 431;
+        else if (error == http::error::body_limit)
+            status = 413;
+        closeAfterWrite_ = true;
+        output_ = serialize({ .status = status, .fields = {}, .body = {} }, true);
+        written_ = 0;
+        pending_.clear();
+        write();
+    }
+
+    void handle()
+    {
+        auto message = parser_->release();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.host = std::string(message[http::field::host]);
+        for (const auto& field : message.base())
+            request.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        request.body = std::move(message.body());
+        closeAfterWrite_ = !message.keep_alive();
+        continued_ = false;
+        handling_ = true;
+        ++shared_->openRequests;
+        timer_.cancel();
+        shared_->handler(std::move(request), shared_from_this());
+    }
+
+    void write()
+    {
+        armTimer(shared_->limits.idleTimeout);
+        socket_.async_write_some(asio::buffer(output_.data() + written_, output_.size() - written_),
+            [self = shared_from_this()](error_code error, std::size_t count) { self->onWritten(error, count); });
+    }
+
+    void onWritten(error_code error, std::size_t count)
+    {
+        if (closed_)
+            return;
+        if (error) {
+            close();
+            return;
+        }
+        written_ += count;
+        if (written_ < output_.size()) {
+            write();
+            return;
+        }
+        output_.clear();
+        if (closeAfterWrite_) {
+            error_code ignored;
+            socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            close();
+            return;
+        }
+        beginRequest();
+        parse();
+        read();
+    }
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::shared_ptr<Shared> shared_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    std::array<char, readBlockBytes> block_;
+    std::string pending_;
+    std::string output_;
+    std::size_t written_ { 0 };
+    std::function<void()> abandoned_;
+    bool handling_ { false };
+    bool reading_ { false };
+    bool requestStarted_ { false };
+    bool continued_ { false };
+    bool closeAfterWrite_ { false };
+    bool closed_ { false };
+};
+
+HttpServer::HttpServer(asio::io_context& context, const NetworkAddress& address, HttpHandler handler)
+    : acceptor_(context, parseEndpoint(address))
+    , shared_(std::make_shared<Shared>())
+{
+    shared_->handler = std::move(handler);
+    accept();
+}
+
+HttpServer::~HttpServer()
+{
+    shared_->stopped = true;
+    // The sessions may outlive the server; their handler belongs to whoever owned it.
+    shared_->handler = [](const HttpRequest&, const std::shared_ptr<HttpExchange>&) {};
+    const auto sessions = shared_->sessions;
+    for (auto* session : sessions) {
+        session->onAbandoned(nullptr);
+        session->close();
+    }
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this, shared = shared_](error_code error, asio::ip::tcp::socket socket) {
+        if (shared->stopped || error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            error_code ignored;
+            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            std::make_shared<Session>(std::move(socket), shared)->start();
+        }
+        accept();
+    });
+}
+
+void HttpServer::setLimits(const HttpServerLimits& limits) { shared_->limits = limits; }
+
+void HttpServer::drain() { shared_->draining = true; }
+
+std::size_t HttpServer::openRequests() const { return shared_->openRequests; }
+
+std::size_t HttpServer::openConnections() const { return shared_->sessions.size(); }
+
+NetworkAddress HttpServer::localAddress() const
+{
+    const auto endpoint = acceptor_.local_endpoint();
+    return NetworkAddress(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+}
+
+asio::ip::tcp::endpoint parseEndpoint(const NetworkAddress& address)
+{
+    const auto colon = address.value.rfind(':');
+    if (colon == std::string::npos)
+        throw std::invalid_argument("address without a port: '" + address.value + "'");
+    const auto digits = std::string_view(address.value).substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    error_code error;
+    const auto host = asio::ip::make_address(address.value.substr(0, colon), error);
+    if (error || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+        throw std::invalid_argument("address is not numeric host:port: '" + address.value + "'");
+    return { host, port };
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/EntryNode.cpp
@@ -0,0 +1,399 @@
+#include "balsammill/node/EntryNode.h"
+
+#include "JobClient.h"
+#include "JobFront.h"
+#include "JobMessageCodec.h"
+#include "NodeContext.h"
+#include "PeerNetwork.h"
+#include "ShardDirectory.h"
+#include "ShardOwnership.h"
+#include "TableFollower.h"
+
+#include "balsammill/base/ProcessId.h"
+#include "balsammill/internal/shard.pb.h"
+#include "platform/Documents.h"
+#include "platform/JobMessages.h"
+#include "platform/Json.h"
+#include "platform/SettingsFile.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <unordered_set>
+
+namespace Balsammill {
+
+namespace {
+
+// Notices overdue tasks and silent peers; finer than any limit that it checks.
+constexpr Duration tickInterval = std::chrono::milliseconds(50);
+// Load changes with each task; other owners place jobs by it.
+constexpr Duration ownerStatusInterval = std::chrono::milliseconds(100);
+// Without shards a status only shows that the process lives.
+constexpr Duration statusInterval = std::chrono::milliseconds(250);
+// The platform asks for readiness once a second and takes a node out after two misses.
+constexpr Duration rotationDelay = std::chrono::milliseconds(2500);
+// Part of the shutdown time that is left for the process to end.
+constexpr Duration exitMargin = std::chrono::milliseconds(700);
+// How long a newer configuration that a peer has may come from the store before the peer is asked.
+constexpr Duration askPeerAfter = std::chrono::milliseconds(300);
+constexpr Duration flushTime = std::chrono::milliseconds(200);
+
+Incarnation newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
+}
+
+} // namespace
+
+struct EntryNode::Detail {
+    boost::asio::io_context loop { 1 };
+    StructuredLog log;
+    NodeMetrics metrics;
+    NodeContext context;
+    Platform::Store store;
+    PeerNetwork peers;
+    ShardDirectory directory;
+    TableFollower operatorRows;
+    TableFollower shardRows;
+    ShardOwnership ownership;
+    JobClient jobs;
+    JobFront front;
+    HttpServer clientServer;
+    HttpServer readinessServer;
+    HttpServer metricsServer;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer tick;
+    std::shared_ptr<const QueueTable> queues;
+    std::string configDocument;
+    TimePoint configBehindSince {};
+    TimePoint statusAt {};
+    TimePoint drainingSince {};
+    bool draining { false };
+    bool ready { false };
+
+    explicit Detail(const NodeSettings& settings)
+        : log({ .vm = settings.vm.value })
+        , context { .loop = loop, .settings = settings, .incarnation = newIncarnation(), .log = log, .metrics = metrics }
+        , store(loop, settings.storeAddress)
+        , peers(loop,
+              { .listen = settings.peerListen,
+                  .self = { .vm = settings.vm, .incarnation = context.incarnation },
+                  .domain = settings.domain },
+              { .message = [this](PeerLink& from, const auto& message) { handlePeerMessage(from, message); },
+                  .closed = [this](PeerLink& link) { handlePeerClosed(link); } })
+        , operatorRows(loop, store, Platform::operatorTable,
+              { .changed =
+                      [this](const Platform::Row& row) {
+                          if (row.key == Platform::configurationKey)
+                              adoptConfiguration(row.value, "store");
+                      },
+                  .removed = [](const std::string&) {},
+                  .answering = [this](bool answers, const std::string& reason) { noteStore(answers, reason); } })
+        , shardRows(loop, store, ShardDirectory::table,
+              { .changed =
+                      [this](const Platform::Row& row) {
+                          if (!directory.apply(row, monotonicNow()))
+                              log.event("shard.bad_record", { { "key", row.key } });
+                          else if (row.key != ShardDirectory::layoutKey)
+                              ownership.handleRecordChange(Shards::ShardName(row.key));
+                      },
+                  .removed = [this](const std::string& key) { directory.remove(key); },
+                  .answering = [](bool, const std::string&) {} })
+        , ownership(context, store, peers, directory, shardRows)
+        , jobs(context, peers, directory, ownership)
+        , front(context, jobs)
+        , clientServer(loop, settings.clientListen,
+              [this](HttpRequest request, const std::shared_ptr<HttpExchange>& exchange) {
+                  front.handle(std::move(request), exchange);
+              })
+        , readinessServer(loop, settings.readinessListen,
+              [this](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+                  exchange->respond({ .status = ready ? 200U : 503U, .fields = {}, .body = {} });
+              })
+        , metricsServer(loop, settings.metricsListen,
+              [this](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) { respondMetrics(*exchange); })
+        , signals(loop, SIGTERM, SIGINT, SIGHUP)
+        , tick(loop)
+    {
+        operatorRows.start();
+        shardRows.start();
+        waitForSignal();
+        scheduleTick();
+        log.event("process.started",
+            { { "failure_domain", settings.domain.value }, { "incarnation", context.incarnation.value },
+                { "clients", settings.clientListen.value }, { "peers", settings.peerListen.value } });
+    }
+
+    void noteStore(bool answers, const std::string& reason)
+    {
+        if (answers)
+            log.event("store.regained", {});
+        else
+            log.event("store.lost", { { "reason", reason } });
+    }
+
+    void adoptConfiguration(const std::string& document, const char* source)
+    {
+        try {
+            auto config = Platform::parseConfiguration(document);
+            if (queues && config.version <= queues->config().version)
+                return;
+            const auto& limits = config.limits;
+            clientServer.setLimits({ .maxHeaderBytes = limits.maxHeaderBytes,
+                .maxBodyBytes = limits.maxBodyBytes,
+                .requestTimeout = limits.headerTimeout,
+                .idleTimeout = limits.idleTimeout });
+            queues = std::make_shared<const QueueTable>(std::move(config));
+            configDocument = document;
+            front.adopt(queues);
+            log.event("config.adopted",
+                { { "version", queues->config().version.value }, { "source", source },
+                    { "queues", std::uint64_t { queues->config().queues.size() } } });
+        } catch (const Platform::FormatError& error) {
+            log.event("config.rejected", { { "source", source }, { "reason", error.what() } });
+        }
+    }
+
+    void handlePeerMessage(PeerLink& from, const balsammill::internal::ShardPeerMessage& message)
+    {
+        if (message.has_submit())
+            handleSubmit(from, message.submit());
+        else if (message.has_answer())
+            jobs.handleAnswer(message.answer());
+        else if (message.has_cancel())
+            handleCancel(from, message.cancel().submission());
+        else if (message.has_status())
+            handleStatus(from, message.status());
+        else if (message.has_config_request())
+            sendConfiguration(from);
+        else if (message.has_config_copy())
+            adoptConfiguration(message.config_copy().document(), "peer");
+    }
+
+    void handleSubmit(PeerLink& from, const balsammill::internal::SubmitShardJob& submit)
+    {
+        const auto number = submit.submission();
+        const auto respond = [link = from.weak_from_this(), number](const OwnerAnswer& answer) {
+            const auto target = link.lock();
+            if (!target)
+                return;
+            balsammill::internal::ShardPeerMessage message;
+            auto* out = message.mutable_answer();
+            out->set_submission(number);
+            out->set_result(encodeResult(answer.kind));
+            out->set_retry_after_us(answer.retryAfter.count());
+            out->set_redirect_shard(answer.redirect.value);
+            target->send(message);
+        };
+        auto* server = ownership.serverOf(Shards::ShardName(submit.shard()));
+        if (server == nullptr) {
+            respond({ .kind = OwnerAnswer::Kind::NotOwner, .retryAfter = {}, .redirect = {} });
+            return;
+        }
+        server->submit({ .link = &from, .number = number }, decodeJob(submit.job()), Duration(submit.age_us()),
+            submit.may_redirect(), respond);
+    }
+
+    static balsammill::internal::ShardJobAnswer::Result encodeResult(OwnerAnswer::Kind kind)
+    {
+        using Message = balsammill::internal::ShardJobAnswer;
+        switch (kind) {
+        case OwnerAnswer::Kind::Completed:
+            return Message::COMPLETED;
+        case OwnerAnswer::Kind::Failed:
+            return Message::FAILED;
+        case OwnerAnswer::Kind::Refused:
+            return Message::REFUSED;
+        case OwnerAnswer::Kind::Redirected:
+            return Message::REDIRECTED;
+        case OwnerAnswer::Kind::NotOwner:
+            return Message::NOT_OWNER;
+        case OwnerAnswer::Kind::InDoubt:
+            break;
+        }
+        return Message::IN_DOUBT;
+    }
+
+    void handleCancel(const PeerLink& from, std::uint64_t number)
+    {
+        for (const auto& [name, server] : ownership.servers())
+            server->cancel({ .link = &from, .number = number });
+    }
+
+    void handleStatus(PeerLink& from, const balsammill::internal::OwnerStatus& status)
+    {
+        const auto now = monotonicNow();
+        for (const auto& shard : status.shards())
+            directory.noteStatus(Shards::ShardName(shard.shard()), Epoch(shard.epoch()),
+                { .freeMilliCores = shard.free_milli_cores(), .waitingJobs = shard.waiting_jobs(), .reportedAt = now });
+        const auto known = queues ? queues->config().version.value : 0;
+        if (status.config_version() <= known) {
+            return;
+        }
+        if (configBehindSince == TimePoint {})
+            configBehindSince = now;
+        if (now - configBehindSince < askPeerAfter)
+            return;
+        configBehindSince = now;
+        balsammill::internal::ShardPeerMessage message;
+        message.mutable_config_request();
+        from.send(message);
+    }
+
+    void sendConfiguration(PeerLink& to)
+    {
+        if (!queues)
+            return;
+        balsammill::internal::ShardPeerMessage message;
+        message.mutable_config_copy()->set_version(queues->config().version.value);
+        message.mutable_config_copy()->set_document(configDocument);
+        to.send(message);
+    }
+
+    void handlePeerClosed(const PeerLink& link)
+    {
+        log.event("peer.closed", { { "peer", link.peer().vm.value } });
+        ownership.handlePeerClosed(link);
+        jobs.handlePeerClosed(link);
+    }
+
+    void sendStatus(TimePoint now)
+    {
+        const bool owner = !ownership.servers().empty();
+        if (now - statusAt < (owner ? ownerStatusInterval : statusInterval))
+            return;
+        statusAt = now;
+        balsammill::internal::ShardPeerMessage message;
+        auto* status = message.mutable_status();
+        status->set_config_version(queues ? queues->config().version.value : 0);
+        status->set_leaving(draining);
+        for (const auto& [name, server] : ownership.servers()) {
+            const auto load = server->load();
+            directory.noteStatus(name, server->epoch(),
+                { .freeMilliCores = load.freeMilliCores, .waitingJobs = load.waitingJobs, .reportedAt = now });
+            auto* out = status->add_shards();
+            out->set_shard(name.value);
+            out->set_epoch(server->epoch().value);
+            out->set_free_milli_cores(load.freeMilliCores);
+            out->set_capacity_milli_cores(load.capacityMilliCores);
+            out->set_waiting_jobs(load.waitingJobs);
+        }
+        peers.sendToAll(message);
+    }
+
+    void respondMetrics(HttpExchange& exchange)
+    {
+        metrics.gauge("store_calls", static_cast<double>(store.calls()));
+        metrics.gauge("open_requests", static_cast<double>(clientServer.openRequests()));
+        metrics.gauge("open_connections", static_cast<double>(clientServer.openConnections()));
+        metrics.gauge("log_lines_dropped", static_cast<double>(log.droppedLines()));
+        for (const auto& [name, server] : ownership.servers()) {
+            const auto load = server->load();
+            metrics.gauge("shard_waiting_jobs{shard=\"" + name.value + "\"}", load.waitingJobs);
+            metrics.gauge("shard_running_tasks{shard=\"" + name.value + "\"}", load.runningTasks);
+            metrics.gauge("shard_free_millicores{shard=\"" + name.value + "\"}", static_cast<double>(load.freeMilliCores));
+            metrics.gauge("shard_usable_upstreams{shard=\"" + name.value + "\"}", load.usableUpstreams);
+        }
+        exchange.respond({ .status = 200, .fields = {}, .body = metrics.exposition(), .contentType = "text/plain; version=0.0.4" });
+    }
+
+    void scheduleTick()
+    {
+        tick.expires_after(tickInterval);
+        tick.async_wait([this](const boost::system::error_code& error) {
+            if (error)
+                return;
+            advance();
+            scheduleTick();
+        });
+    }
+
+    void advance()
+    {
+        const auto now = monotonicNow();
+        peers.advance(now);
+        ownership.advance(now);
+        jobs.advance(now);
+        sendStatus(now);
+        const bool nowReady = queues && !draining && jobs.canServe();
+        if (nowReady != ready) {
+            ready = nowReady;
+            log.event("readiness.changed", { { "ready", ready ? "yes" : "no" } });
+        }
+        if (draining)
+            finishDraining(now);
+    }
+
+    void waitForSignal()
+    {
+        signals.async_wait([this](const boost::system::error_code& error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reloadSettings();
+            else if (!draining)
+                beginDraining();
+            waitForSignal();
+        });
+    }
+
+    void reloadSettings()
+    {
+        const char* path = std::getenv(Platform::settingsPathVariable);
+        if (path == nullptr)
+            return;
+        try {
+            const auto fresh = Platform::readSettingsFile(path);
+            // Addresses are bound already and keep their values until the process starts again.
+            context.settings.processorShare = fresh.processorShare;
+            context.settings.maxLease = fresh.maxLease;
+            context.settings.stopGrace = fresh.stopGrace;
+            context.settings.shutdownGrace = fresh.shutdownGrace;
+            context.settings.clientResendDelay = fresh.clientResendDelay;
+            log.event("settings.reloaded", {});
+        } catch (const std::exception& error) {
+            log.event("settings.rejected", { { "reason", error.what() } });
+        }
+    }
+
+    void beginDraining()
+    {
+        draining = true;
+        ready = false;
+        drainingSince = monotonicNow();
+        log.event("process.draining", { { "open_requests", std::uint64_t { clientServer.openRequests() } } });
+        clientServer.drain();
+        ownership.leave();
+    }
+
+    void finishDraining(TimePoint now)
+    {
+        const bool idle = clientServer.openRequests() == 0 && ownership.ownsNothing();
+        const bool outOfRotation = now - drainingSince >= rotationDelay;
+        const bool outOfTime = now - drainingSince >= context.settings.shutdownGrace - exitMargin;
+        if ((idle && outOfRotation) || outOfTime)
+            loop.stop();
+    }
+};
+
+EntryNode::EntryNode(const NodeSettings& settings)
+    : detail_(std::make_unique<Detail>(settings))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+int EntryNode::run()
+{
+    detail_->loop.run();
+    const auto unanswered = detail_->clientServer.openRequests();
+    detail_->log.event("process.stopped", { { "unanswered_requests", std::uint64_t { unanswered } } });
+    detail_->log.flush(monotonicNow() + flushTime);
+    return unanswered == 0 ? 0 : 1;
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/JobFront.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "JobClient.h"
+#include "NodeContext.h"
+
+#include "balsammill/http/HttpServer.h"
+#include "balsammill/routing/RoutingConfig.h"
+
+#include <memory>
+
+namespace Balsammill {
+
+/// Answers clients: finds the queue of a request, hands jobs to the job client, and writes the answers.
+class JobFront {
+public:
+    JobFront(NodeContext&, JobClient&);
+
+    /// Null until the first configuration is known.
+    void adopt(std::shared_ptr<const QueueTable>);
+    void handle(HttpRequest, const std::shared_ptr<HttpExchange>&);
+
+private:
+    void submit(const QueueConfig&, const std::string& id, const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+
+    NodeContext& context_;
+    JobClient& jobs_;
+    std::shared_ptr<const QueueTable> queues_;
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/NodeContext.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "NodeMetrics.h"
+
+#include "balsammill/observe/StructuredLog.h"
+#include "balsammill/routing/NodeSettings.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace Balsammill {
+
+/// What every part of an entry uses. The settings may be replaced while the entry runs.
+struct NodeContext {
+    boost::asio::io_context& loop;
+    NodeSettings settings;
+    Incarnation incarnation;
+    StructuredLog& log;
+    NodeMetrics& metrics;
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/PeerLink.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "balsammill/base/StrongId.h"
+#include "balsammill/base/Units.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace balsammill::internal {
+class ShardPeerMessage;
+}
+
+namespace Balsammill {
+
+/// Identifies one run of an entry process.
+struct PeerId {
+    VmName vm;
+    Incarnation incarnation;
+
+    auto operator<=>(const PeerId&) const = default;
+};
+
+/// Why a connection between entries ended.
+enum class LinkEnd {
+    /// Nothing listens at the address, or the other process has closed the connection.
+    Refused,
+    /// Nothing was heard in time.
+    Silent,
+    /// This process closed it.
+    Closed,
+};
+
+/// A connection between two entries. Frames are a length of 4 bytes, high byte first, and a ShardPeerMessage.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    using MessageHandler = std::function<void(PeerLink&, const balsammill::internal::ShardPeerMessage&)>;
+    using EndHandler = std::function<void(PeerLink&, LinkEnd)>;
+
+    PeerLink(boost::asio::ip::tcp::socket, MessageHandler, EndHandler);
+
+    /// Connects, or starts reading if the socket is connected already.
+    void start(const boost::asio::ip::tcp::endpoint* remote, std::function<void(PeerLink&)> opened);
+    void send(const balsammill::internal::ShardPeerMessage&);
+    void close(LinkEnd);
+
+    bool open() const { return open_; }
+    bool closed() const { return closed_; }
+    TimePoint lastHeardAt() const { return lastHeardAt_; }
+    const PeerId& peer() const { return peer_; }
+    void setPeer(PeerId peer) { peer_ = std::move(peer); }
+
+private:
+    void begin();
+    void read();
+    bool parse();
+    void write();
+
+    boost::asio::ip::tcp::socket socket_;
+    MessageHandler onMessage_;
+    EndHandler onEnd_;
+    PeerId peer_;
+    std::array<char, 16 * 1024> block_;
+    std::string input_;
+    std::string output_;
+    std::string writing_;
+    TimePoint lastHeardAt_ {};
+    bool open_ { false };
+    bool closed_ { false };
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/ShardOwnership.cpp
@@ -0,0 +1,351 @@
+#include "ShardOwnership.h"
+
+#include "platform/Documents.h"
+#include "platform/Json.h"
+
+#include <algorithm>
+
+namespace Balsammill {
+
+namespace {
+
+constexpr Duration renewInterval = std::chrono::milliseconds(1000);
+constexpr Duration writeTimeout = std::chrono::milliseconds(1000);
+// After a write whose result is not known the record is read by the follower first.
+constexpr Duration retryAfterUnknown = std::chrono::milliseconds(300);
+// Upstreams register within their first heartbeat; the number of shards is decided after that.
+constexpr Duration layoutDelay = std::chrono::milliseconds(2500);
+// An owner with a quarter of a core serves about this many upstreams.
+constexpr std::size_t upstreamsPerShard = 24;
+// Registrations that lapsed in an outage are back within two seconds of its end, if the upstream lives.
+constexpr Duration registrationGrace = std::chrono::milliseconds(2500);
+// An outage this recent may be the reason why a registration vanished.
+constexpr Duration recentOutage = std::chrono::seconds(5);
+
+std::uint64_t stableHash(std::string_view text)
+{
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const unsigned char c : text)
+        hash = (hash ^ c) * 1099511628211ULL;
+    return hash ^ (hash >> 29U);
+}
+
+} // namespace
+
+ShardOwnership::ShardOwnership(NodeContext& context, Platform::Store& store, PeerNetwork& peers,
+    ShardDirectory& directory, const TableFollower& records)
+    : context_(context)
+    , store_(store)
+    , peers_(peers)
+    , directory_(directory)
+    , records_(records)
+    , startedAt_(monotonicNow())
+    , alive_(std::make_shared<bool>(true))
+{
+    upstreamRows_ = std::make_unique<TableFollower>(context.loop, store, Platform::upstreamTable,
+        TableFollower::Handlers { .changed = [this](const Platform::Row& row) { handleUpstreamRow(row); },
+            .removed = [this](const std::string& key) { handleUpstreamRemoved(key); },
+            .answering = [](bool, const std::string&) {} });
+    upstreamRows_->start();
+}
+
+ShardOwnership::~ShardOwnership() { *alive_ = false; }
+
+ShardServer* ShardOwnership::serverOf(const Shards::ShardName& name)
+{
+    const auto found = servers_.find(name);
+    return found == servers_.end() ? nullptr : found->second.get();
+}
+
+bool ShardOwnership::isMine(const ShardOwner& owner) const
+{
+    return owner.vm == context_.settings.vm && owner.incarnation == context_.incarnation;
+}
+
+void ShardOwnership::decideLayout(TimePoint now)
+{
+    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !upstreamRows_->loaded()
+        || now - startedAt_ < layoutDelay || upstreams_.empty())
+        return;
+    std::map<FailureDomain, std::size_t> perDomain;
+    for (const auto& [id, info] : upstreams_)
+        ++perDomain[info.domain];
+    std::size_t most = 0;
+    for (const auto& [domain, count] : perDomain)
+        most = std::max(most, count);
+    const auto shards = static_cast<unsigned>((most + upstreamsPerShard - 1) / upstreamsPerShard);
+    const auto row = ShardDirectory::encodeLayout(shards);
+    layoutWriting_ = true;
+    store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
+        [this, alive = alive_, shards](const Platform::RowsResult& result) {
+            if (!*alive)
+                return;
+            layoutWriting_ = false;
+            if (result.status == Platform::StoreStatus::Ok)
+                context_.log.event("shards.layout_written", { { "per_domain", std::uint64_t { shards } } });
+            else
+                adoptRows(result);
+        });
+}
+
+void ShardOwnership::advance(TimePoint now)
+{
+    decideLayout(now);
+    for (auto it = vanished_.begin(); it != vanished_.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        const auto id = it->first;
+        it = vanished_.erase(it);
+        upstreams_.erase(id);
+        for (auto& [name, server] : servers_)
+            server->removeUpstream(id);
+    }
+    if (const auto shards = directory_.shardsPerDomain()) {
+        for (unsigned i = 0; i < *shards; ++i)
+            considerClaim(ShardDirectory::shardName(context_.settings.domain, i), now);
+    }
+    std::vector<Shards::ShardName> owned;
+    for (auto& [name, server] : servers_) {
+        server->advance();
+        owned.push_back(name);
+    }
+    for (const auto& name : owned) {
+        auto& pending = pending_[name];
+        const auto* server = serverOf(name);
+        if (server == nullptr || pending.writing || now < pending.retryAt)
+            continue;
+        if (leaving_ && server->unfinishedJobs() == 0)
+            renew(name, now, true);
+        else if (now >= pending.renewAt)
+            renew(name, now, false);
+    }
+}
+
+void ShardOwnership::considerClaim(const Shards::ShardName& name, TimePoint now)
+{
+    auto& pending = pending_[name];
+    if (leaving_ || pending.writing || now < pending.retryAt || !records_.loaded())
+        return;
+    const auto* owner = directory_.find(name);
+    Shards::OwnershipQuestion question { .shard = { .recorded = owner != nullptr },
+        .storeCurrentAt = records_.currentAt(),
+        .connectedToOthers = peers_.connectedToAny(),
+        .ownedShards = static_cast<unsigned>(servers_.size()),
+        .processorShare = context_.settings.processorShare,
+        .now = now };
+    question.shard.ownedHere = servers_.contains(name);
+    question.shard.changedAt = startedAt_ + layoutDelay;
+    if (owner != nullptr) {
+        question.shard.released = owner->released;
+        question.shard.ownedByPredecessor
+            = owner->vm == context_.settings.vm && owner->incarnation != context_.incarnation;
+        question.shard.changedAt = owner->changedAt;
+        if (owner->vm != context_.settings.vm) {
+            peers_.linkTo(owner->address, now);
+            question.shard.owner = peers_.stateOf(owner->address);
+        }
+    }
+    const auto at = Shards::claimTime(question);
+    if (at && now >= *at)
+        claim(name, now);
+}
+
+void ShardOwnership::claim(const Shards::ShardName& name, TimePoint now)
+{
+    const auto* previous = directory_.find(name);
+    ShardOwner next { .version = previous == nullptr ? Platform::RowVersion() : previous->version,
+        .epoch = Epoch((previous == nullptr ? 0 : previous->epoch.value) + 1),
+        .vm = context_.settings.vm,
+        .incarnation = context_.incarnation,
+        .address = context_.settings.peerListen };
+    const auto row = ShardDirectory::encode(name, next);
+    auto& pending = pending_[name];
+    pending.writing = true;
+    pending.releaseWritten = false;
+    const std::string previousOwner = previous == nullptr ? "none" : previous->vm.value;
+    const std::int64_t unchangedMs = previous == nullptr ? -1 : (now - previous->changedAt).count() / 1000;
+    store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
+        [this, alive = alive_, name, next, previousOwner, unchangedMs](const Platform::RowsResult& result) {
+            if (!*alive)
+                return;
+            auto& done = pending_[name];
+            done.writing = false;
+            context_.metrics.count("shard_claims", result.status == Platform::StoreStatus::Ok ? R"(outcome="won")" : R"(outcome="lost")");
+            if (result.status == Platform::StoreStatus::Ok) {
+                auto written = ShardDirectory::encode(name, next);
+                written.version = result.version;
+                directory_.apply(written, monotonicNow());
+                context_.log.event("shard.gained",
+                    { { "shard", name.value }, { "epoch", next.epoch.value }, { "previous", previousOwner },
+                        { "unchanged_ms", unchangedMs } });
+                startServer(name, next.epoch);
+                return;
+            }
+            adoptRows(result);
+            done.retryAt = monotonicNow() + retryAfterUnknown;
+        });
+}
+
+void ShardOwnership::renew(const Shards::ShardName& name, TimePoint now, bool release)
+{
+    const auto* current = directory_.find(name);
+    if (current == nullptr || !isMine(*current)) {
+        lose(name, "the record names another owner");
+        return;
+    }
+    ShardOwner next = *current;
+    ++next.renewal;
+    next.released = release;
+    const auto row = ShardDirectory::encode(name, next);
+    auto& pending = pending_[name];
+    pending.writing = true;
+    pending.renewAt = now + renewInterval;
+    if (release)
+        servers_.at(name)->stopAdmitting();
+    store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
+        [this, alive = alive_, name, next, release](const Platform::RowsResult& result) {
+            if (!*alive)
+                return;
+            auto& done = pending_[name];
+            done.writing = false;
+            if (result.status == Platform::StoreStatus::Ok) {
+                auto written = ShardDirectory::encode(name, next);
+                written.version = result.version;
+                directory_.apply(written, monotonicNow());
+                if (release)
+                    lose(name, "released");
+                return;
+            }
+            adoptRows(result);
+            done.retryAt = monotonicNow() + retryAfterUnknown;
+        });
+}
+
+void ShardOwnership::adoptRows(const Platform::RowsResult& result)
+{
+    if (result.status != Platform::StoreStatus::Conflict)
+        return;
+    for (const auto& row : result.rows) {
+        if (row.table != ShardDirectory::table || row.deleted || row.value.empty())
+            continue;
+        if (directory_.apply(row, monotonicNow()) && row.key != ShardDirectory::layoutKey)
+            handleRecordChange(Shards::ShardName(row.key));
+    }
+}
+
+void ShardOwnership::handleRecordChange(const Shards::ShardName& name)
+{
+    const auto* owner = directory_.find(name);
+    if (owner == nullptr)
+        return;
+    const bool serving = servers_.contains(name);
+    if (serving && !isMine(*owner)) {
+        lose(name, "the record names another owner");
+        return;
+    }
+    // A claim whose answer was lost has been done after all.
+    if (!serving && isMine(*owner) && !owner->released && !pending_[name].writing && !leaving_)
+        startServer(name, owner->epoch);
+}
+
+void ShardOwnership::startServer(const Shards::ShardName& name, Epoch epoch)
+{
+    if (servers_.contains(name))
+        return;
+    pending_[name].renewAt = monotonicNow() + renewInterval;
+    servers_[name] = std::make_unique<ShardServer>(context_, name, epoch,
+        ShardServer::Handlers { .otherShards =
+                                    [this, name] {
+                                        std::vector<Shards::OtherShard> others;
+                                        for (const auto& [other, owner] : directory_.owners()) {
+                                            const auto* status = directory_.statusOf(other);
+                                            const bool reachable = servers_.contains(other)
+                                                || peers_.stateOf(owner.address) == Shards::PeerState::Connected;
+                                            if (other != name && status != nullptr && reachable)
+                                                others.push_back({ .name = other,
+                                                    .freeMilliCores = status->freeMilliCores,
+                                                    .waitingJobs = status->waitingJobs });
+                                        }
+                                        return others;
+                                    },
+            .fenced = [this, name] { lose(name, "an upstream has seen a higher fencing token"); } });
+    for (const auto& [id, info] : upstreams_)
+        offerUpstream(info);
+}
+
+void ShardOwnership::lose(const Shards::ShardName& name, std::string_view reason)
+{
+    const auto found = servers_.find(name);
+    if (found == servers_.end())
+        return;
+    context_.log.event("shard.lost",
+        { { "shard", name.value }, { "epoch", found->second->epoch().value }, { "reason", reason },
+            { "unfinished_jobs", std::uint64_t { found->second->unfinishedJobs() } } });
+    auto server = std::move(found->second);
+    servers_.erase(found);
+    server->abandon();
+    pending_[name].retryAt = monotonicNow() + retryAfterUnknown;
+}
+
+void ShardOwnership::handlePeerClosed(const PeerLink& link)
+{
+    for (auto& [name, server] : servers_)
+        server->cancelAllOf(link);
+}
+
+void ShardOwnership::leave()
+{
+    leaving_ = true;
+    for (auto& [name, server] : servers_)
+        server->stopAdmitting();
+}
+
+Shards::ShardName ShardOwnership::shardOf(const Shards::UpstreamInfo& info) const
+{
+    // Rendezvous hashing: the shard of an upstream depends on nothing but its id and the number of shards.
+    const auto shards = directory_.shardsPerDomain().value_or(1);
+    unsigned best = 0;
+    std::uint64_t bestWeight = 0;
+    for (unsigned i = 0; i < shards; ++i) {
+        const auto weight = stableHash(info.id.value + "/" + std::to_string(i));
+        if (weight >= bestWeight) {
+            bestWeight = weight;
+            best = i;
+        }
+    }
+    return ShardDirectory::shardName(info.domain, best);
+}
+
+void ShardOwnership::offerUpstream(const Shards::UpstreamInfo& info)
+{
+    if (auto* server = serverOf(shardOf(info)))
+        server->updateUpstream(info);
+}
+
+void ShardOwnership::handleUpstreamRow(const Platform::Row& row)
+{
+    const Shards::UpstreamId id(row.key);
+    try {
+        const auto info = Platform::parseUpstream(row.key, row.value);
+        vanished_.erase(id);
+        upstreams_[id] = info;
+        offerUpstream(info);
+    } catch (const Platform::FormatError& error) {
+        context_.log.event("upstream.bad_registration", { { "upstream", row.key }, { "reason", error.what() } });
+        handleUpstreamRemoved(row.key);
+    }
+}
+
+void ShardOwnership::handleUpstreamRemoved(const std::string& key)
+{
+    const Shards::UpstreamId id(key);
+    if (!upstreams_.contains(id))
+        return;
+    const auto now = monotonicNow();
+    const bool outage = now - upstreamRows_->failedAt() < recentOutage;
+    vanished_[id] = outage ? now + registrationGrace : now;
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/ShardOwnership.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "NodeContext.h"
+#include "PeerNetwork.h"
+#include "ShardDirectory.h"
+#include "ShardServer.h"
+#include "TableFollower.h"
+
+#include <map>
+#include <memory>
+
+namespace Balsammill {
+
+/// Claims shards of this entry's failure domain that have no owner, renews and gives up those that it owns, and keeps
+/// their servers supplied with upstreams.
+class ShardOwnership {
+public:
+    ShardOwnership(NodeContext&, Platform::Store&, PeerNetwork&, ShardDirectory&, const TableFollower& records);
+    ~ShardOwnership();
+
+    /// Null if this process does not own the shard.
+    ShardServer* serverOf(const Shards::ShardName&);
+    const std::map<Shards::ShardName, std::unique_ptr<ShardServer>>& servers() const { return servers_; }
+    /// The directory has changed.
+    void handleRecordChange(const Shards::ShardName&);
+    void handlePeerClosed(const PeerLink&);
+    void advance(TimePoint now);
+    /// Gives all shards up once their jobs have ended, and claims no more.
+    void leave();
+    bool ownsNothing() const { return servers_.empty(); }
+
+private:
+    struct Pending {
+        bool writing { false };
+        TimePoint renewAt {};
+        TimePoint retryAt {};
+        bool releaseWritten { false };
+    };
+
+    void decideLayout(TimePoint now);
+    void considerClaim(const Shards::ShardName&, TimePoint now);
+    void claim(const Shards::ShardName&, TimePoint now);
+    void renew(const Shards::ShardName&, TimePoint now, bool release);
+    void startServer(const Shards::ShardName&, Epoch);
+    void lose(const Shards::ShardName&, std::string_view reason);
+    void adoptRows(const Platform::RowsResult&);
+    bool isMine(const ShardOwner&) const;
+    void handleUpstreamRow(const Platform::Row&);
+    void handleUpstreamRemoved(const std::string& key);
+    Shards::ShardName shardOf(const Shards::UpstreamInfo&) const;
+    void offerUpstream(const Shards::UpstreamInfo&);
+
+    NodeContext& context_;
+    Platform::Store& store_;
+    PeerNetwork& peers_;
+    ShardDirectory& directory_;
+    const TableFollower& records_;
+    std::unique_ptr<TableFollower> upstreamRows_;
+    std::map<Shards::UpstreamId, Shards::UpstreamInfo> upstreams_;
+    // Registrations that vanished while the store was disturbed, with the time at which they count as gone.
+    std::map<Shards::UpstreamId, TimePoint> vanished_;
+    std::map<Shards::ShardName, std::unique_ptr<ShardServer>> servers_;
+    std::map<Shards::ShardName, Pending> pending_;
+    TimePoint startedAt_ {};
+    bool layoutWriting_ { false };
+    bool leaving_ { false };
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/UpstreamSession.cpp
@@ -0,0 +1,347 @@
+#include "UpstreamSession.h"
+
+#include "platform/Json.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace Balsammill {
+
+namespace {
+
+// How long the upstream may wait for an end before it answers; the lease is extended with each such request.
+constexpr Duration reportWait = std::chrono::milliseconds(400);
+// Answers come within a round trip of a failure domain; the rest is for a slow process at either side.
+constexpr Duration answerTimeout = std::chrono::milliseconds(200);
+// Lease of a start. It is short so that a start that is delivered late is refused; reports extend it.
+constexpr Duration startLease = std::chrono::milliseconds(600);
+// An upstream's clock may be this much slow.
+constexpr double slowestClock = 0.98;
+// On top of the lease's end by the slowest clock: a stop's grace and the rounding to milliseconds.
+constexpr Duration expiryMargin = std::chrono::milliseconds(80);
+// Ends of an upstream that has become idle are acknowledged after this time, unless a start does it sooner.
+constexpr Duration idleAcknowledgeDelay = std::chrono::milliseconds(250);
+constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration longestRetryDelay = std::chrono::milliseconds(400);
+constexpr std::size_t reportConnections = 1;
+constexpr std::size_t orderConnections = 3;
+
+std::int64_t toMs(Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); }
+
+} // namespace
+
+UpstreamSession::UpstreamSession(
+    NodeContext& context, Shards::ShardEngine& engine, const Shards::UpstreamInfo& info, Epoch fence, Handlers handlers)
+    : context_(context)
+    , engine_(engine)
+    , id_(info.id)
+    , fence_(fence)
+    , handlers_(std::move(handlers))
+    , reports_(std::make_unique<HttpClient>(context.loop, info.address, reportConnections))
+    , orders_(std::make_unique<HttpClient>(context.loop, info.address, orderConnections))
+{
+}
+
+void UpstreamSession::close()
+{
+    closed_ = true;
+    reports_.reset();
+    orders_.reset();
+}
+
+Platform::UpstreamClock UpstreamSession::clockAt(TimePoint now) const
+{
+    return Platform::UpstreamClock(clock_.value + toMs(now - clockReadAt_));
+}
+
+Platform::UpstreamClock UpstreamSession::grant(TimePoint now, Duration length)
+{
+    const auto real = Duration(static_cast<Duration::rep>(static_cast<double>(length.count()) / slowestClock));
+    leaseOverAt_ = std::max(leaseOverAt_, now + real + expiryMargin + context_.settings.stopGrace);
+    expiryReported_ = false;
+    return Platform::UpstreamClock(clockAt(now).value + toMs(length));
+}
+
+bool UpstreamSession::noteAnswer(const HttpResult& result, TimePoint now)
+{
+    if (!result.response)
+        return false;
+    try {
+        if (const auto clock = Platform::parseClock(*result.response)) {
+            clock_ = *clock;
+            clockReadAt_ = now;
+        }
+        if (Platform::isFenced(*result.response)) {
+            handlers_.fenced();
+            return false;
+        }
+    } catch (const Platform::FormatError& error) {
+        context_.log.event("upstream.bad_answer", { { "upstream", id_.value }, { "reason", error.what() } });
+        return false;
+    }
+    return true;
+}
+
+void UpstreamSession::start(const Shards::StartTask& start)
+{
+    if (closed_)
+        return;
+    const auto now = monotonicNow();
+    const auto length = std::min(startLease, context_.settings.maxLease);
+    const auto request = Platform::encodeStart(start, grant(now, length), fence_);
+    orders_->send(request, now + answerTimeout, [self = shared_from_this(), start](const HttpResult& result) {
+        if (self->closed_)
+            return;
+        const auto answered = monotonicNow();
+        if (!self->noteAnswer(result, answered)) {
+            if (self->closed_)
+                return;
+            if (result.neverSent) {
+                self->context_.metrics.count("starts", R"(outcome="unreachable")");
+                self->engine_.handleStartRefused(
+                    self->id_, start.task, start.run, Shards::StartRefusal::Unhealthy, answered);
+                self->handlers_.progressed();
+            } else {
+                self->context_.metrics.count("starts", R"(outcome="unanswered")");
+                self->settle(start, 0);
+            }
+            return;
+        }
+        try {
+            if (Platform::isOtherIncarnation(*result.response)) {
+                self->engine_.handleLeaseExpired(self->id_, answered);
+                self->handlers_.progressed();
+                return;
+            }
+            const auto answer = Platform::parseStartAnswer(*result.response);
+            if (const auto* refusal = std::get_if<Shards::StartRefusal>(&answer)) {
+                self->context_.metrics.count("starts", R"(outcome="refused")");
+                self->context_.log.event("task.start_refused",
+                    { { "id", start.task.job.value }, { "upstream", self->id_.value },
+                        { "status", std::uint64_t { result.response->status } }, { "body", result.response->body } });
+                self->engine_.handleStartRefused(self->id_, start.task, start.run, *refusal, answered);
+                self->handlers_.progressed();
+            } else {
+                self->context_.metrics.count("starts", R"(outcome="started")");
+                self->engine_.handleStarted(self->id_, start.task, start.run, answered);
+            }
+        } catch (const Platform::FormatError& error) {
+            self->context_.log.event("upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
+            self->settle(start, 0);
+        }
+    });
+    advance(now);
+}
+
+void UpstreamSession::settle(const Shards::StartTask& start, int attempt)
+{
+    // The answer may be lost while the task runs; then the report lists it and nothing has to be repeated.
+    const auto now = monotonicNow();
+    const auto request
+        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndHandled(id_), Duration::zero());
+    orders_->send(request, now + answerTimeout,
+        [self = shared_from_this(), start, now, attempt](const HttpResult& result) {
+            if (self->closed_)
+                return;
+            const auto answered = monotonicNow();
+            if (!self->noteAnswer(result, answered) || result.response->status != 200) {
+                if (!self->closed_)
+                    self->retrySettle(start, attempt);
+                return;
+            }
+            try {
+                const auto report = Platform::parseReport(*result.response);
+                const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
+                const bool ended = std::any_of(report.ended.begin(), report.ended.end(),
+                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
+                self->engine_.handleReport(self->id_, report, now, answered);
+                self->handlers_.progressed();
+                if (!listed && !ended && !self->closed_)
+                    self->settleByStop(start, attempt);
+            } catch (const Platform::FormatError& error) {
+                self->context_.log.event(
+                    "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
+                self->retrySettle(start, attempt);
+            }
+        });
+}
+
+void UpstreamSession::settleByStop(const Shards::StartTask& start, int attempt)
+{
+    const auto now = monotonicNow();
+    const auto request = Platform::encodeStop({ .upstream = id_, .task = start.task, .run = start.run }, fence_);
+    orders_->send(request, now + answerTimeout, [self = shared_from_this(), start, attempt](const HttpResult& result) {
+        if (self->closed_)
+            return;
+        const auto answered = monotonicNow();
+        if (!self->noteAnswer(result, answered) || result.response->status != 200) {
+            if (!self->closed_)
+                self->retrySettle(start, attempt);
+            return;
+        }
+        // The run cannot begin any more, but it may have begun just before the stop: the next report tells.
+        const auto confirm = Platform::encodeReportRequest(
+            self->id_, std::nullopt, self->fence_, self->engine_.lastEndHandled(self->id_), Duration::zero());
+        self->orders_->send(confirm, answered + answerTimeout, [self, start, attempt, answered](const HttpResult& last) {
+            if (self->closed_)
+                return;
+            const auto at = monotonicNow();
+            if (!self->noteAnswer(last, at) || last.response->status != 200) {
+                if (!self->closed_)
+                    self->retrySettle(start, attempt);
+                return;
+            }
+            try {
+                const auto report = Platform::parseReport(*last.response);
+                const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
+                self->engine_.handleReport(self->id_, report, answered, at);
+                if (listed)
+                    self->retrySettle(start, attempt);
+                else
+                    self->engine_.handleNeverStarted(self->id_, start.task, start.run, at);
+                self->handlers_.progressed();
+            } catch (const Platform::FormatError& error) {
+                self->context_.log.event(
+                    "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
+                self->retrySettle(start, attempt);
+            }
+        });
+    });
+}
+
+void UpstreamSession::retrySettle(const Shards::StartTask& start, int attempt)
+{
+    // Once the lease has expired the engine has dropped the run, and there is nothing left to settle.
+    if (leaseOver(monotonicNow()))
+        return;
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop);
+    timer->expires_after(std::min(firstRetryDelay * (1 << std::min(attempt, 3)), longestRetryDelay));
+    timer->async_wait([self = shared_from_this(), timer, start, attempt](const boost::system::error_code& error) {
+        if (!error && !self->closed_)
+            self->settle(start, attempt + 1);
+    });
+}
+
+void UpstreamSession::stop(const Shards::StopTask& stop)
+{
+    if (closed_)
+        return;
+    const auto now = monotonicNow();
+    context_.metrics.count("stops");
+    orders_->send(Platform::encodeStop(stop, fence_), now + answerTimeout,
+        [self = shared_from_this(), stop](const HttpResult& result) {
+            if (self->closed_)
+                return;
+            const auto answered = monotonicNow();
+            if (!self->noteAnswer(result, answered) && !self->closed_ && !self->leaseOver(answered)
+                && self->engine_.isBusy(self->id_))
+                self->stop(stop);
+            else if (!self->closed_)
+                self->advance(answered);
+        });
+}
+
+void UpstreamSession::noteFailure(TimePoint now, const std::string& reason)
+{
+    retryDelay_ = std::clamp(retryDelay_ * 2, firstRetryDelay, longestRetryDelay);
+    reportRetryAt_ = now + retryDelay_;
+    engine_.setReachable(id_, false, now);
+    if (!failing_) {
+        failing_ = true;
+        context_.log.event("upstream.unreachable", { { "upstream", id_.value }, { "reason", reason } });
+    }
+}
+
+void UpstreamSession::requestReport(TimePoint now, bool wait)
+{
+    reportOutstanding_ = true;
+    std::optional<Platform::UpstreamClock> lease;
+    if (confirmed_ && engine_.needsLease(id_, now))
+        lease = grant(now, context_.settings.maxLease);
+    const auto waitFor = wait ? reportWait : Duration::zero();
+    const auto lastEnd = engine_.lastEndHandled(id_);
+    const auto request = Platform::encodeReportRequest(id_, lease, fence_, lastEnd, waitFor);
+    context_.metrics.count("upstream_reports");
+    reports_->send(request, now + waitFor + answerTimeout,
+        [self = shared_from_this(), now, wait, lastEnd](const HttpResult& result) {
+            if (self->closed_)
+                return;
+            self->reportOutstanding_ = false;
+            if (result.response && result.response->status == 200)
+                self->acknowledgedEnd_ = lastEnd;
+            self->handleReport(result, now, wait);
+        });
+}
+
+void UpstreamSession::handleReport(const HttpResult& result, TimePoint sentAt, bool wait)
+{
+    const auto now = monotonicNow();
+    if (!noteAnswer(result, now)) {
+        if (closed_)
+            return;
+        noteFailure(now, result.error);
+        advance(now);
+        return;
+    }
+    if (result.response->status != 200) {
+        if (Platform::isOtherIncarnation(*result.response)) {
+            engine_.handleLeaseExpired(id_, now);
+            handlers_.progressed();
+        }
+        if (!closed_)
+            noteFailure(now, "status " + std::to_string(result.response->status));
+        return;
+    }
+    try {
+        const auto report = Platform::parseReport(*result.response);
+        if (failing_)
+            context_.log.event("upstream.reachable", { { "upstream", id_.value } });
+        failing_ = false;
+        retryDelay_ = Duration::zero();
+        confirmed_ = true;
+        // A report that waited was complete when it was answered, so runs confirmed before it was sent are judged.
+        engine_.handleReport(id_, report, sentAt, now);
+    } catch (const Platform::FormatError& error) {
+        context_.log.event("upstream.bad_answer", { { "upstream", id_.value }, { "reason", error.what() } });
+        noteFailure(now, error.what());
+        return;
+    }
+    static_cast<void>(wait);
+    handlers_.progressed();
+    if (!closed_)
+        advance(monotonicNow());
+}
+
+void UpstreamSession::advance(TimePoint now)
+{
+    if (closed_)
+        return;
+    const bool busy = engine_.isBusy(id_);
+    if (busy && !expiryReported_ && leaseOver(now)) {
+        expiryReported_ = true;
+        context_.log.event("upstream.lease_expired", { { "upstream", id_.value } });
+        engine_.handleLeaseExpired(id_, now);
+        handlers_.progressed();
+        return;
+    }
+    if (reportOutstanding_ || now < reportRetryAt_)
+        return;
+    if (!confirmed_ || failing_) {
+        requestReport(now, false);
+        return;
+    }
+    if (busy) {
+        idleSince_ = TimePoint {};
+        requestReport(now, true);
+        return;
+    }
+    if (idleSince_ == TimePoint {})
+        idleSince_ = now;
+    if (engine_.lastEndHandled(id_) != acknowledgedEnd_ && now - idleSince_ >= idleAcknowledgeDelay)
+        requestReport(now, false);
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/shards/include/balsammill/shards/RunTimeModel.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "balsammill/shards/JobSpec.h"
+
+#include <unordered_map>
+
+namespace Balsammill::Shards {
+
+/// Predicts run times. Declared estimates are corrected by what tasks of the same queue really took, and upstreams are
+/// rated by how long tasks take on them compared with the prediction.
+class RunTimeModel {
+public:
+    /// Expected run time of a task of this step on an upstream of average speed.
+    Duration predict(const JobSpec&, const StepSpec&) const;
+    /// Records that a task ran to its end.
+    void record(const JobSpec&, const StepSpec&, const UpstreamId&, Duration actual);
+    /// Factor by which tasks take longer on this upstream than predicted; 1 if unknown.
+    double slowness(const UpstreamId&) const;
+    /// Raises the factor to at least this value, when a task has already run that much longer than predicted.
+    void noteOverdue(const UpstreamId&, double factor);
+    void forget(const UpstreamId&);
+
+private:
+    struct QueueRecord {
+        double logRatio { 0 };
+        double logMean { 0 };
+        std::uint32_t samples { 0 };
+    };
+    std::unordered_map<QueueName, QueueRecord> queues_;
+    std::unordered_map<UpstreamId, double> logSlowness_;
+};
+
+} // namespace Balsammill::Shards
--- /dev/null
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "balsammill/shards/RunTimeModel.h"
+#include "balsammill/shards/ShardActions.h"
+#include "balsammill/shards/UpstreamInfo.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Balsammill::Shards {
+
+/// What the owner of a shard expects for a job that it has not accepted yet.
+struct JobForecast {
+    TimePoint startAt {};
+    TimePoint endAt {};
+    /// Until when the job has to end to meet its response time objective.
+    TimePoint objectiveAt {};
+    /// No upstream of the shard could ever run one of its tasks.
+    bool impossible { false };
+
+    bool meetsObjective() const { return !impossible && endAt <= objectiveAt; }
+};
+
+/// How busy a shard is; sent to the other entries.
+struct ShardLoad {
+    /// Processor capacity of usable upstreams that nothing runs on or waits for.
+    std::int64_t freeMilliCores { 0 };
+    std::int64_t capacityMilliCores { 0 };
+    std::uint32_t waitingJobs { 0 };
+    std::uint32_t runningTasks { 0 };
+    std::uint32_t usableUpstreams { 0 };
+};
+
+/// The decisions of the owner of one shard: which task runs on which upstream, and when a job has ended. It owns all
+/// capacity of the shard's upstreams. It reads no clock and does no I/O: events come in with their time, and what has
+/// to be sent is collected with takeActions().
+class ShardEngine {
+public:
+    ShardEngine();
+    ~ShardEngine();
+    ShardEngine(ShardEngine&&) noexcept;
+    ShardEngine& operator=(ShardEngine&&) noexcept;
+
+    // Upstreams. An upstream takes no task before its first report under the owner's fencing token.
+
+    /// Adds an upstream, or adopts what it says of itself now.
+    void updateUpstream(const UpstreamInfo&, TimePoint now);
+    /// The upstream has left the list: it takes no more tasks, and its runs count until their lease has expired.
+    void removeUpstream(const UpstreamId&, TimePoint now);
+    void setReachable(const UpstreamId&, bool reachable, TimePoint now);
+    /// An answer to a request for a report that was sent at sentAt.
+    void handleReport(const UpstreamId&, const UpstreamReport&, TimePoint sentAt, TimePoint now);
+    /// Nothing that was started there before can still run.
+    void handleLeaseExpired(const UpstreamId&, TimePoint now);
+    void handleStarted(const UpstreamId&, const TaskKey&, RunNumber, TimePoint now);
+    void handleStartRefused(const UpstreamId&, const TaskKey&, RunNumber, StartRefusal, TimePoint now);
+    /// The run does not exist on the upstream and can no longer begin there.
+    void handleNeverStarted(const UpstreamId&, const TaskKey&, RunNumber, TimePoint now);
+
+    // Jobs.
+
+    JobForecast forecast(const JobSpec&, TimePoint now) const;
+    /// Accepts a job. If a job of that id is unfinished, the submission takes it over.
+    void submit(SubmissionId, std::shared_ptr<const JobSpec>, TimePoint now);
+    /// The submitter has lost interest: waiting tasks are dropped and running ones stopped.
+    void cancel(SubmissionId, TimePoint now);
+
+    /// Notices tasks that take far too long, and ends penalties that have run out.
+    void advance(TimePoint now);
+    /// Places what fits. Call it after any events and before takeActions().
+    void schedule(TimePoint now);
+    ShardActions takeActions();
+
+    ShardLoad load() const;
+    /// True if runs are, or may be, on the upstream, so that its lease has to be extended.
+    bool needsLease(const UpstreamId&, TimePoint now) const;
+    /// True if something is, or may be, there that the owner has not seen the end of.
+    bool isBusy(const UpstreamId&) const;
+    /// Highest sequence of an end that was handled.
+    std::uint64_t lastEndHandled(const UpstreamId&) const;
+    std::size_t unfinishedJobs() const;
+    /// Jobs of a queue of which no task has started yet.
+    std::size_t waitingJobs(const QueueName&) const;
+
+private:
+    struct Run;
+    struct Upstream;
+    struct Task;
+    struct Step;
+    struct Job;
+    struct Blocked;
+
+    Job* findJob(const JobId&);
+    void startTask(Job&, std::uint32_t step, std::uint32_t index, Upstream&, RunNumber, TimePoint now);
+    void stopRun(Upstream&, Run&, TimePoint now);
+    void dropRun(Upstream&, const TaskKey&, TimePoint now);
+    void finishRun(Upstream&, const EndedTask&, TimePoint now);
+    void completeTask(Job&, std::uint32_t step, std::uint32_t index, const Upstream&, const Run&, TimePoint now);
+    void failTask(Job&, std::uint32_t step, std::uint32_t index, Upstream&, TimePoint now);
+    void retryTask(Job&, std::uint32_t step, std::uint32_t index);
+    void finishJob(Job&, JobResult, TimePoint now);
+    void suspect(Upstream&, TimePoint now);
+    void checkOverdue(Upstream&, TimePoint now);
+    bool stepIsReady(const Job&, std::uint32_t step) const;
+    Duration remainingChain(const Job&) const;
+    Duration chain(const JobSpec&) const;
+    bool usable(const Upstream&, TimePoint now) const;
+    bool canHold(const Upstream&, const JobSpec&, const StepSpec&) const;
+    Upstream* choose(const Job&, std::uint32_t step, const Task&, const UpstreamId& reserved, TimePoint now);
+    bool placeStep(Job&, std::uint32_t step, Blocked&, TimePoint now);
+    bool placeGang(Job&, std::uint32_t step, Blocked&, TimePoint now);
+    std::vector<TimePoint> placesFreeAt(const JobSpec&, const StepSpec&, TimePoint now) const;
+    std::vector<Job*> jobsInOrder(TimePoint now) const;
+
+    RunTimeModel model_;
+    std::map<UpstreamId, Upstream> upstreams_;
+    std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
+    std::unordered_map<SubmissionId, JobId> submissions_;
+    // Runs on any upstream by task, including those of jobs that are finished here.
+    std::unordered_map<TaskKey, std::uint32_t> liveRuns_;
+    struct RecentJob {
+        RunNumber highestRun;
+        TimePoint forgetAt {};
+    };
+    // An upstream refuses run numbers up to that of an earlier run, also if the job was cancelled and comes again.
+    std::unordered_map<JobId, RecentJob> recentJobs_;
+    ShardActions actions_;
+};
+
+} // namespace Balsammill::Shards
--- /dev/null
+++ b/libs/shards/src/RunTimeModel.cpp
@@ -0,0 +1,68 @@
+#include "balsammill/shards/RunTimeModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Balsammill::Shards {
+
+namespace {
+
+// Weight of the newest sample in the averages of a queue; about 50 tasks, a few seconds of its traffic.
+constexpr double queueWeight = 0.02;
+// Weight of the newest sample in an upstream's rating; about five tasks, so that a slowdown shows within a second.
+constexpr double upstreamWeight = 0.2;
+// Estimates and the queue's mean are equally uncertain, so the prediction is their geometric mean.
+constexpr double estimateShare = 0.5;
+// Samples from which on the queue's mean is used.
+constexpr std::uint32_t enoughSamples = 20;
+// Assumed run time where a job declares none.
+constexpr Duration defaultEstimate = std::chrono::milliseconds(100);
+constexpr Duration shortestRun = std::chrono::milliseconds(1);
+
+double logMicros(Duration duration) { return std::log(static_cast<double>(std::max(duration, shortestRun).count())); }
+
+Duration estimateOf(const StepSpec& step) { return step.estimate > Duration::zero() ? step.estimate : defaultEstimate; }
+
+} // namespace
+
+Duration RunTimeModel::predict(const JobSpec& job, const StepSpec& step) const
+{
+    double logTime = logMicros(estimateOf(step));
+    const auto found = queues_.find(job.queue);
+    if (found != queues_.end()) {
+        logTime += found->second.logRatio;
+        if (found->second.samples >= enoughSamples)
+            logTime = estimateShare * logTime + (1 - estimateShare) * found->second.logMean;
+    }
+    return Duration(static_cast<Duration::rep>(std::exp(logTime)));
+}
+
+void RunTimeModel::record(const JobSpec& job, const StepSpec& step, const UpstreamId& upstream, Duration actual)
+{
+    const double expected = logMicros(predict(job, step));
+    const double onAverageUpstream = logMicros(actual) - std::log(slowness(upstream));
+    auto& rating = logSlowness_[upstream];
+    rating += upstreamWeight * (logMicros(actual) - expected - rating);
+
+    auto& queue = queues_[job.queue];
+    ++queue.samples;
+    const double weight = std::max(queueWeight, 1.0 / queue.samples);
+    queue.logRatio += weight * (onAverageUpstream - logMicros(estimateOf(step)) - queue.logRatio);
+    queue.logMean += weight * (onAverageUpstream - queue.logMean);
+}
+
+double RunTimeModel::slowness(const UpstreamId& upstream) const
+{
+    const auto found = logSlowness_.find(upstream);
+    return found == logSlowness_.end() ? 1.0 : std::exp(found->second);
+}
+
+void RunTimeModel::noteOverdue(const UpstreamId& upstream, double factor)
+{
+    auto& rating = logSlowness_[upstream];
+    rating = std::max(rating, std::log(factor));
+}
+
+void RunTimeModel::forget(const UpstreamId& upstream) { logSlowness_.erase(upstream); }
+
+} // namespace Balsammill::Shards
--- /dev/null
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "balsammill/shards/ShardEngine.h"
+
+namespace Balsammill::Shards {
+
+enum class RunState {
+    /// The start was sent and not answered.
+    Ordered,
+    Running,
+    Stopping,
+};
+
+struct ShardEngine::Run {
+    RunNumber number {};
+    // Empty if no job waits for it.
+    JobId job {};
+    Resources need {};
+    RunState state { RunState::Ordered };
+    TimePoint orderedAt {};
+    // Once the upstream has confirmed the start.
+    TimePoint confirmedAt {};
+    TimePoint expectedEnd {};
+    TimePoint stopSentAt {};
+};
+
+struct ShardEngine::Upstream {
+    UpstreamInfo info;
+    Resources room;
+    std::map<TaskKey, Run> runs;
+    std::uint64_t lastEndHandled { 0 };
+    bool registered { true };
+    bool reachable { true };
+    // It has reported under the owner's fencing token, so nothing runs there that the owner does not know of.
+    bool confirmed { false };
+    std::uint32_t consecutiveFailures { 0 };
+    TimePoint suspectedUntil {};
+    Duration suspicion {};
+    // After a suspicion it gets one task at a time until one succeeds.
+    bool onProbation { false };
+};
+
+struct ShardEngine::Task {
+    enum class State {
+        Waiting,
+        Active,
+        Done,
+    };
+    State state { State::Waiting };
+    std::uint32_t failures { 0 };
+    RunNumber run;
+    UpstreamId upstream;
+    UpstreamId avoid;
+    std::string checkpoint;
+};
+
+struct ShardEngine::Step {
+    std::vector<Task> tasks;
+    std::uint32_t done { 0 };
+    std::uint32_t waiting { 0 };
+    std::uint32_t active { 0 };
+    // Sum over completed tasks of their run time, corrected by the rating of their upstreams.
+    Duration observed {};
+    std::uint32_t observations { 0 };
+};
+
+struct ShardEngine::Job {
+    SubmissionId submission;
+    std::shared_ptr<const JobSpec> spec;
+    std::vector<Step> steps;
+    TimePoint submittedAt {};
+    TimePoint objectiveAt {};
+    TimePoint firstStartAt {};
+    TimePoint lastStartAt {};
+    RunNumber highestRun;
+    bool started { false };
+
+    // Expected run time of a task, by its completed siblings if there are any.
+    Duration expectedRunTime(const RunTimeModel&, std::uint32_t step) const;
+};
+
+} // namespace Balsammill::Shards
--- /dev/null
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -0,0 +1,231 @@
+#include "ShardEngineDetail.h"
+
+#include <algorithm>
+
+namespace Balsammill::Shards {
+
+namespace {
+
+// First pause of an upstream that fails its tasks; doubled while it goes on failing.
+constexpr Duration firstSuspicion = std::chrono::seconds(1);
+constexpr Duration longestSuspicion = std::chrono::seconds(8);
+// A task is overdue after this many times its expected run time, by how well that is known, and a margin for delivery.
+constexpr double overdueFactorBySiblings = 2.0;
+constexpr double overdueFactorByModel = 3.0;
+constexpr Duration overdueMargin = std::chrono::milliseconds(60);
+// A stop that has no effect for this long lets the lease run out, which ends the run in any case.
+constexpr Duration stopPatience = std::chrono::milliseconds(300);
+
+} // namespace
+
+void ShardEngine::updateUpstream(const UpstreamInfo& info, TimePoint now)
+{
+    auto [entry, added] = upstreams_.try_emplace(info.id);
+    auto& upstream = entry->second;
+    if (added) {
+        upstream.info = info;
+        upstream.room = info.capacity;
+        return;
+    }
+    if (info.bornMs != 0 && upstream.info.bornMs != 0 && info.bornMs != upstream.info.bornMs)
+        handleLeaseExpired(info.id, now);
+    Resources used = upstream.info.capacity;
+    used -= upstream.room;
+    upstream.info = info;
+    upstream.room = info.capacity;
+    upstream.room -= used;
+    upstream.registered = true;
+}
+
+void ShardEngine::removeUpstream(const UpstreamId& id, TimePoint)
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return;
+    found->second.registered = false;
+    if (found->second.runs.empty()) {
+        model_.forget(id);
+        upstreams_.erase(found);
+    }
+}
+
+void ShardEngine::setReachable(const UpstreamId& id, bool reachable, TimePoint)
+{
+    const auto found = upstreams_.find(id);
+    if (found != upstreams_.end())
+        found->second.reachable = reachable;
+}
+
+void ShardEngine::handleReport(const UpstreamId& id, const UpstreamReport& report, TimePoint sentAt, TimePoint now)
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return;
+    auto& upstream = found->second;
+    if (report.bornMs != 0 && upstream.info.bornMs != 0 && report.bornMs != upstream.info.bornMs)
+        handleLeaseExpired(id, now);
+    if (report.bornMs != 0)
+        upstream.info.bornMs = report.bornMs;
+    for (const auto& end : report.ended) {
+        if (end.sequence <= upstream.lastEndHandled)
+            continue;
+        upstream.lastEndHandled = end.sequence;
+        finishRun(upstream, end, now);
+    }
+    for (const auto& running : report.running) {
+        const auto run = upstream.runs.find(running.task);
+        if (run != upstream.runs.end() && run->second.number == running.run) {
+            if (run->second.state == RunState::Ordered) {
+                run->second.state = RunState::Running;
+                run->second.confirmedAt = now;
+            }
+            continue;
+        }
+        if (run != upstream.runs.end() && run->second.number > running.run)
+            continue;
+        // Started by an earlier owner of the shard, or too late: whoever asked for it has been answered.
+        actions_.emplace_back(StopTask { .upstream = id, .task = running.task, .run = running.run });
+        if (run == upstream.runs.end()) {
+            ++liveRuns_[running.task];
+            // Its size is not known; the upstream takes nothing else until it has ended.
+            Run unknown { .number = running.run, .need = upstream.room, .state = RunState::Stopping };
+            unknown.stopSentAt = now;
+            upstream.room -= unknown.need;
+            upstream.runs.emplace(running.task, unknown);
+        }
+    }
+    // A run that was confirmed before the report was requested and is in neither list has ended without a trace.
+    std::vector<TaskKey> vanished;
+    for (const auto& [key, run] : upstream.runs) {
+        const bool listed = std::any_of(report.running.begin(), report.running.end(),
+            [&key = key, &run = run](const RunningTask& each) { return each.task == key && each.run == run.number; });
+        const bool wasThere = run.state == RunState::Running && run.confirmedAt <= sentAt;
+        const bool wasOrphan = run.state == RunState::Stopping && run.confirmedAt == TimePoint {}
+            && run.orderedAt == TimePoint {} && run.stopSentAt <= sentAt;
+        const bool wasStopped
+            = run.state == RunState::Stopping && run.confirmedAt != TimePoint {} && run.confirmedAt <= sentAt;
+        if (!listed && (wasThere || wasOrphan || wasStopped))
+            vanished.push_back(key);
+    }
+    for (const auto& key : vanished) {
+        const auto wanted = upstream.runs.at(key).job;
+        dropRun(upstream, key, now);
+        if (auto* job = wanted.empty() ? nullptr : findJob(wanted))
+            retryTask(*job, key.step, key.index);
+    }
+    upstream.confirmed = true;
+    upstream.reachable = true;
+    if (!upstream.registered)
+        removeUpstream(id, now);
+}
+
+void ShardEngine::handleLeaseExpired(const UpstreamId& id, TimePoint now)
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return;
+    auto& upstream = found->second;
+    std::vector<TaskKey> keys;
+    for (const auto& [key, run] : upstream.runs)
+        keys.push_back(key);
+    for (const auto& key : keys) {
+        const auto wanted = upstream.runs.at(key).job;
+        dropRun(upstream, key, now);
+        if (auto* job = wanted.empty() ? nullptr : findJob(wanted))
+            retryTask(*job, key.step, key.index);
+    }
+    upstream.lastEndHandled = 0;
+    if (!upstream.registered)
+        removeUpstream(id, now);
+}
+
+void ShardEngine::suspect(Upstream& upstream, TimePoint now)
+{
+    if (now < upstream.suspectedUntil)
+        return;
+    upstream.suspicion = std::clamp(upstream.suspicion * 2, firstSuspicion, longestSuspicion);
+    upstream.suspectedUntil = now + upstream.suspicion;
+    upstream.onProbation = true;
+    upstream.consecutiveFailures = 0;
+}
+
+void ShardEngine::checkOverdue(Upstream& upstream, TimePoint now)
+{
+    for (auto& [key, run] : upstream.runs) {
+        if (run.state != RunState::Running || run.job.empty())
+            continue;
+        auto* job = findJob(run.job);
+        if (job == nullptr || job->spec->steps[key.step].gang)
+            continue;
+        const auto expected = job->expectedRunTime(model_, key.step);
+        const double factor
+            = job->steps[key.step].observations > 0 ? overdueFactorBySiblings : overdueFactorByModel;
+        const auto limit = Duration(static_cast<Duration::rep>(factor * static_cast<double>(expected.count()))) + overdueMargin;
+        if (now - run.orderedAt <= limit)
+            continue;
+        model_.noteOverdue(upstream.info.id, factor);
+        suspect(upstream, now);
+        job->steps[key.step].tasks[key.index].avoid = upstream.info.id;
+        const auto keep = run.job;
+        stopRun(upstream, run, now);
+        // The task is still wanted and starts again once this run has ended.
+        run.job = keep;
+    }
+}
+
+void ShardEngine::advance(TimePoint now)
+{
+    for (auto& [id, upstream] : upstreams_)
+        checkOverdue(upstream, now);
+    std::erase_if(recentJobs_, [now](const auto& entry) { return entry.second.forgetAt <= now; });
+}
+
+bool ShardEngine::needsLease(const UpstreamId& id, TimePoint now) const
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return false;
+    const auto& runs = found->second.runs;
+    const bool stuck = std::any_of(runs.begin(), runs.end(), [now](const auto& entry) {
+        return entry.second.state == RunState::Stopping && entry.second.stopSentAt + stopPatience <= now;
+    });
+    return !stuck && std::any_of(runs.begin(), runs.end(), [](const auto& entry) {
+        return entry.second.state != RunState::Stopping;
+    });
+}
+
+bool ShardEngine::isBusy(const UpstreamId& id) const
+{
+    const auto found = upstreams_.find(id);
+    return found != upstreams_.end() && !found->second.runs.empty();
+}
+
+std::uint64_t ShardEngine::lastEndHandled(const UpstreamId& id) const
+{
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? 0 : found->second.lastEndHandled;
+}
+
+ShardLoad ShardEngine::load() const
+{
+    ShardLoad load;
+    for (const auto& [id, upstream] : upstreams_) {
+        load.runningTasks += static_cast<std::uint32_t>(upstream.runs.size());
+        if (!upstream.registered || !upstream.confirmed || !upstream.reachable || upstream.info.draining)
+            continue;
+        ++load.usableUpstreams;
+        load.freeMilliCores += upstream.room.milliCores;
+        load.capacityMilliCores += upstream.info.capacity.milliCores;
+    }
+    for (const auto& [id, job] : jobs_) {
+        bool waits = false;
+        for (std::size_t i = 0; i < job->steps.size(); ++i) {
+            waits = waits || job->steps[i].waiting > 0;
+            load.freeMilliCores -= job->spec->steps[i].need.milliCores * job->steps[i].waiting;
+        }
+        load.waitingJobs += waits ? 1 : 0;
+    }
+    return load;
+}
+
+} // namespace Balsammill::Shards
--- /dev/null
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -0,0 +1,349 @@
+#include "ShardEngineDetail.h"
+
+#include "balsammill/shards/Forecast.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Balsammill::Shards {
+
+namespace {
+
+// Weight of the room that a task would leave unused on an upstream, against the upstream's slowness.
+constexpr double leftoverWeight = 0.5;
+// Added to an upstream's cost when the task's data is in another rack.
+constexpr double otherRackCost = 1.0;
+// Added when the last run of the task failed there.
+constexpr double failedBeforeCost = 10.0;
+
+std::int64_t placesOf(const Resources& room, const Resources& need)
+{
+    auto places = std::numeric_limits<std::int64_t>::max();
+    if (need.milliCores > 0)
+        places = std::min(places, room.milliCores / need.milliCores);
+    if (need.memoryMb > 0)
+        places = std::min(places, room.memoryMb / need.memoryMb);
+    if (need.accelerators > 0)
+        places = std::min(places, room.accelerators / need.accelerators);
+    // Tasks that need nothing fit without limit; the cap keeps the forecast small.
+    return std::clamp<std::int64_t>(places, 0, 64);
+}
+
+} // namespace
+
+// A need that found no room in this pass, so that larger ones need not be tried.
+struct ShardEngine::Blocked {
+    std::vector<std::pair<ServiceName, Resources>> needs;
+    // Kept free for the most urgent task that found no room.
+    UpstreamId reserved;
+
+    bool covers(const ServiceName& service, const Resources& need) const
+    {
+        return std::any_of(needs.begin(), needs.end(),
+            [&](const auto& each) { return each.first == service && each.second.fitsIn(need); });
+    }
+};
+
+bool ShardEngine::usable(const Upstream& upstream, TimePoint now) const
+{
+    return upstream.registered && upstream.confirmed && upstream.reachable && !upstream.info.draining
+        && now >= upstream.suspectedUntil;
+}
+
+bool ShardEngine::canHold(const Upstream& upstream, const JobSpec& job, const StepSpec& step) const
+{
+    return upstream.info.service == job.service && step.need.fitsIn(upstream.info.capacity)
+        && (step.requiredLabel.empty() || upstream.info.hasLabel(step.requiredLabel));
+}
+
+ShardEngine::Upstream* ShardEngine::choose(
+    const Job& job, std::uint32_t stepIndex, const Task& task, const UpstreamId& reserved, TimePoint now)
+{
+    const auto& step = job.spec->steps[stepIndex];
+    Upstream* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (auto& [id, upstream] : upstreams_) {
+        if (!usable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
+            || !step.need.fitsIn(upstream.room))
+            continue;
+        if (upstream.onProbation && !upstream.runs.empty())
+            continue;
+        if (step.maxPerUpstream > 0) {
+            const auto there = std::count_if(upstream.runs.begin(), upstream.runs.end(),
+                [&](const auto& run) { return run.first.job == job.spec->id && run.first.step == stepIndex; });
+            if (there >= step.maxPerUpstream)
+                continue;
+        }
+        const auto left = static_cast<double>(upstream.room.milliCores - step.need.milliCores);
+        double cost = model_.slowness(id)
+            + leftoverWeight * left / static_cast<double>(std::max<std::int64_t>(upstream.info.capacity.milliCores, 1));
+        if (!step.preferredRack.empty() && !upstream.info.hasLabel(step.preferredRack))
+            cost += otherRackCost;
+        if (task.avoid == id)
+            cost += failedBeforeCost;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = &upstream;
+        }
+    }
+    return best;
+}
+
+void ShardEngine::startTask(
+    Job& job, std::uint32_t stepIndex, std::uint32_t index, Upstream& upstream, RunNumber number, TimePoint now)
+{
+    auto& step = job.steps[stepIndex];
+    auto& task = step.tasks[index];
+    const auto& spec = job.spec->steps[stepIndex];
+    const TaskKey key { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index };
+    const auto expected = job.expectedRunTime(model_, stepIndex);
+    const auto there = Duration(static_cast<Duration::rep>(
+        static_cast<double>(expected.count()) * model_.slowness(upstream.info.id)));
+    task.state = Task::State::Active;
+    task.run = number;
+    task.upstream = upstream.info.id;
+    --step.waiting;
+    ++step.active;
+    job.highestRun.value = std::max(job.highestRun.value, number.value);
+    if (!job.started)
+        job.firstStartAt = now;
+    job.started = true;
+    job.lastStartAt = now;
+    upstream.room -= spec.need;
+    upstream.runs.emplace(key,
+        Run { .number = number,
+            .job = job.spec->id,
+            .need = spec.need,
+            .state = RunState::Ordered,
+            .orderedAt = now,
+            .expectedEnd = now + there });
+    ++liveRuns_[key];
+    actions_.emplace_back(StartTask {
+        .upstream = upstream.info.id, .task = key, .run = number, .job = job.spec, .checkpoint = task.checkpoint });
+}
+
+bool ShardEngine::stepIsReady(const Job& job, std::uint32_t step) const
+{
+    if (job.steps[step].waiting == 0)
+        return false;
+    const auto& after = job.spec->steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+        [&](std::uint32_t earlier) { return job.steps[earlier].done == job.steps[earlier].tasks.size(); });
+}
+
+bool ShardEngine::placeStep(Job& job, std::uint32_t stepIndex, Blocked& blocked, TimePoint now)
+{
+    const auto& spec = job.spec->steps[stepIndex];
+    if (spec.gang)
+        return placeGang(job, stepIndex, blocked, now);
+    auto& step = job.steps[stepIndex];
+    for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index) {
+        auto& task = step.tasks[index];
+        if (task.state != Task::State::Waiting)
+            continue;
+        // Another run of the task may still be ending elsewhere.
+        if (liveRuns_.contains(TaskKey { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index }))
+            continue;
+        auto* upstream = choose(job, stepIndex, task, blocked.reserved, now);
+        if (upstream == nullptr)
+            return false;
+        const RunNumber number { std::max(task.run.value, job.started ? task.run.value : job.highestRun.value) + 1 };
+        startTask(job, stepIndex, index, *upstream, number, now);
+    }
+    return true;
+}
+
+bool ShardEngine::placeGang(Job& job, std::uint32_t stepIndex, Blocked& blocked, TimePoint now)
+{
+    auto& step = job.steps[stepIndex];
+    const auto& spec = job.spec->steps[stepIndex];
+    // All members start together, so nothing of an earlier run may be left.
+    if (step.active > 0)
+        return true;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (liveRuns_.contains(TaskKey { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index }))
+            return true;
+    }
+    std::vector<Upstream*> members;
+    for (const auto& task : step.tasks) {
+        auto* upstream = choose(job, stepIndex, task, blocked.reserved, now);
+        if (upstream == nullptr)
+            break;
+        upstream->room -= spec.need;
+        members.push_back(upstream);
+    }
+    for (auto* upstream : members)
+        upstream->room += spec.need;
+    if (members.size() < step.tasks.size())
+        return false;
+    const RunNumber number { job.highestRun.value + 1 };
+    for (std::uint32_t index = 0; index < members.size(); ++index)
+        startTask(job, stepIndex, index, *members[index], number, now);
+    return true;
+}
+
+Duration ShardEngine::chain(const JobSpec& spec) const
+{
+    std::vector<Duration> endOf(spec.steps.size());
+    Duration longest {};
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        Duration begin {};
+        for (const auto earlier : spec.steps[i].after)
+            begin = std::max(begin, endOf[earlier]);
+        endOf[i] = begin + model_.predict(spec, spec.steps[i]);
+        longest = std::max(longest, endOf[i]);
+    }
+    return longest;
+}
+
+Duration ShardEngine::remainingChain(const Job& job) const
+{
+    std::vector<Duration> endOf(job.steps.size());
+    Duration longest {};
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+        Duration begin {};
+        for (const auto earlier : job.spec->steps[i].after)
+            begin = std::max(begin, endOf[earlier]);
+        const bool open = job.steps[i].done < job.steps[i].tasks.size();
+        endOf[i] = begin + (open ? job.expectedRunTime(model_, i) : Duration::zero());
+        longest = std::max(longest, endOf[i]);
+    }
+    return longest;
+}
+
+std::vector<ShardEngine::Job*> ShardEngine::jobsInOrder(TimePoint now) const
+{
+    struct Entry {
+        bool late;
+        TimePoint latestStart;
+        Job* job;
+    };
+    std::vector<Entry> entries;
+    for (const auto& [id, job] : jobs_) {
+        bool waits = false;
+        for (std::uint32_t i = 0; i < job->steps.size(); ++i)
+            waits = waits || stepIsReady(*job, i);
+        if (!waits)
+            continue;
+        const auto latestStart = job->objectiveAt - remainingChain(*job);
+        // A job that has begun keeps its place, so that the work done for it is not wasted by waiting.
+        entries.push_back({ .late = latestStart < now && !job->started, .latestStart = latestStart, .job = job.get() });
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
+        if (a.late != b.late)
+            return b.late;
+        if (a.latestStart != b.latestStart)
+            return a.latestStart < b.latestStart;
+        return a.job->submission < b.job->submission;
+    });
+    std::vector<Job*> jobs;
+    jobs.reserve(entries.size());
+    for (const auto& entry : entries)
+        jobs.push_back(entry.job);
+    return jobs;
+}
+
+void ShardEngine::schedule(TimePoint now)
+{
+    Blocked blocked;
+    for (auto* job : jobsInOrder(now)) {
+        for (std::uint32_t i = 0; i < job->steps.size(); ++i) {
+            const auto& step = job->spec->steps[i];
+            if (!stepIsReady(*job, i) || blocked.covers(job->spec->service, step.need))
+                continue;
+            if (placeStep(*job, i, blocked, now))
+                continue;
+            if (step.requiredLabel.empty() && step.maxPerUpstream == 0 && !step.gang)
+                blocked.needs.emplace_back(job->spec->service, step.need);
+            if (!blocked.reserved.empty())
+                continue;
+            // Without a reservation smaller tasks would take each piece of room before a large one fits.
+            TimePoint soonest = TimePoint::max();
+            for (const auto& [id, upstream] : upstreams_) {
+                if (!usable(upstream, now) || upstream.onProbation || !canHold(upstream, *job->spec, step))
+                    continue;
+                Resources room = upstream.room;
+                std::vector<const Run*> runs;
+                for (const auto& [key, run] : upstream.runs)
+                    runs.push_back(&run);
+                std::sort(runs.begin(), runs.end(),
+                    [](const Run* a, const Run* b) { return a->expectedEnd < b->expectedEnd; });
+                for (const auto* run : runs) {
+                    room += run->need;
+                    if (!step.need.fitsIn(room))
+                        continue;
+                    if (run->expectedEnd < soonest) {
+                        soonest = run->expectedEnd;
+                        blocked.reserved = id;
+                    }
+                    break;
+                }
+            }
+        }
+    }
+}
+
+std::vector<TimePoint> ShardEngine::placesFreeAt(const JobSpec& job, const StepSpec& step, TimePoint now) const
+{
+    std::vector<TimePoint> places;
+    for (const auto& [id, upstream] : upstreams_) {
+        if (!usable(upstream, now) || !canHold(upstream, job, step))
+            continue;
+        Resources room = upstream.room;
+        auto open = placesOf(room, step.need);
+        places.insert(places.end(), static_cast<std::size_t>(open), now);
+        std::vector<const Run*> runs;
+        for (const auto& [key, run] : upstream.runs)
+            runs.push_back(&run);
+        std::sort(runs.begin(), runs.end(), [](const Run* a, const Run* b) { return a->expectedEnd < b->expectedEnd; });
+        for (const auto* run : runs) {
+            room += run->need;
+            const auto more = placesOf(room, step.need);
+            for (; open < more; ++open)
+                places.push_back(run->expectedEnd);
+        }
+    }
+    return places;
+}
+
+JobForecast ShardEngine::forecast(const JobSpec& spec, TimePoint now) const
+{
+    JobForecast result;
+    const auto longestChain = chain(spec);
+    result.objectiveAt = now + spec.targetOverhead
+        + Duration(static_cast<Duration::rep>(spec.stretch * static_cast<double>(longestChain.count())));
+    for (const auto& step : spec.steps) {
+        const bool possible = std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+            return entry.second.registered && !entry.second.info.draining && canHold(entry.second, spec, step);
+        });
+        result.impossible = result.impossible || !possible;
+    }
+    if (result.impossible || spec.steps.empty())
+        return result;
+    // Places are counted in tasks of the first step; the queued work is scaled to that size.
+    const auto& first = spec.steps.front();
+    Forecast places(placesFreeAt(spec, first, now), now);
+    const auto latestStart = result.objectiveAt - longestChain;
+    for (const auto* job : jobsInOrder(now)) {
+        const bool late = job->objectiveAt - remainingChain(*job) < now && !job->started;
+        if (late || job->objectiveAt - remainingChain(*job) > latestStart)
+            continue;
+        for (std::uint32_t i = 0; i < job->steps.size(); ++i) {
+            if (job->steps[i].waiting > 0)
+                places.add({ .tasks = job->steps[i].waiting, .runTime = job->expectedRunTime(model_, i) }, now);
+        }
+    }
+    result.startAt = places.nextStart();
+    std::vector<TimePoint> endOf(spec.steps.size());
+    result.endAt = now;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        TimePoint begin = now;
+        for (const auto earlier : spec.steps[i].after)
+            begin = std::max(begin, endOf[earlier]);
+        endOf[i] = places.add({ .tasks = spec.steps[i].count, .runTime = model_.predict(spec, spec.steps[i]) }, begin);
+        result.endAt = std::max(result.endAt, endOf[i]);
+    }
+    return result;
+}
+
+} // namespace Balsammill::Shards
