--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -21,7 +21,7 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <unordered_set>
+#include <set>
 
 namespace Balsammill {
 
@@ -36,6 +36,10 @@
 // The platform asks for readiness once a second and takes a node out after two misses.
 constexpr Duration rotationDelay = std::chrono::milliseconds(2500);
 // Part of the shutdown time that is left for the process to end.
+// Part of the shutdown time in which a shard that nobody took over is released.
+constexpr Duration releaseMargin = std::chrono::milliseconds(1200);
+// Renewals of the records are read in bundles.
+constexpr Duration shardRecordPause = std::chrono::milliseconds(30);
 constexpr Duration exitMargin = std::chrono::milliseconds(700);
 // How long a newer configuration that a peer has may come from the store before the peer is asked.
 constexpr Duration askPeerAfter = std::chrono::milliseconds(300);
@@ -70,6 +74,7 @@
     std::shared_ptr<const QueueTable> queues;
     std::string configDocument;
     TimePoint configBehindSince {};
+    std::set<Shards::ShardName> everRetired;
     TimePoint statusAt {};
     TimePoint drainingSince {};
     bool draining { false };
@@ -85,7 +90,7 @@
                   .domain = settings.domain },
               { .message = [this](PeerLink& from, const auto& message) { handlePeerMessage(from, message); },
                   .closed = [this](PeerLink& link) { handlePeerClosed(link); } })
-        , operatorRows(loop, store, Platform::operatorTable,
+        , operatorRows(loop, store, Platform::operatorTable, Duration::zero(),
               { .changed =
                       [this](const Platform::Row& row) {
                           if (row.key == Platform::configurationKey)
@@ -93,13 +98,13 @@
                       },
                   .removed = [](const std::string&) {},
                   .answering = [this](bool answers, const std::string& reason) { noteStore(answers, reason); } })
-        , shardRows(loop, store, ShardDirectory::table,
+        , shardRows(loop, store, ShardDirectory::table, shardRecordPause,
               { .changed =
                       [this](const Platform::Row& row) {
                           if (!directory.apply(row, monotonicNow()))
                               log.event("shard.bad_record", { { "key", row.key } });
                           else if (row.key != ShardDirectory::layoutKey)
-                              ownership.handleRecordChange(Shards::ShardName(row.key));
+                              handleShardChange(Shards::ShardName(row.key));
                       },
                   .removed = [this](const std::string& key) { directory.remove(key); },
                   .answering = [](bool, const std::string&) {} })
@@ -128,6 +133,16 @@
                 { "clients", settings.clientListen.value }, { "peers", settings.peerListen.value } });
     }
 
+    void handleShardChange(const Shards::ShardName& name)
+    {
+        const bool retiredBefore = !ownership.retiring().empty();
+        ownership.handleRecordChange(name);
+        jobs.advance(monotonicNow());
+        // The new owner waits to hear which upstreams it may use.
+        if (!retiredBefore && !ownership.retiring().empty())
+            sendStatus(monotonicNow(), true);
+    }
+
     void noteStore(bool answers, const std::string& reason)
     {
         if (answers)
@@ -165,9 +180,12 @@
         else if (message.has_answer())
             jobs.handleAnswer(message.answer());
         else if (message.has_cancel())
-            handleCancel(from, message.cancel().submission());
+            ownership.cancel({ .link = &from, .number = message.cancel().submission() });
         else if (message.has_status())
             handleStatus(from, message.status());
+        else if (message.has_take_over())
+            ownership.handleTakeOver(
+                from, Shards::ShardName(message.take_over().shard()), Epoch(message.take_over().epoch()));
         else if (message.has_config_request())
             sendConfiguration(from);
         else if (message.has_config_copy())
@@ -195,7 +213,7 @@
             return;
         }
         server->submit({ .link = &from, .number = number }, decodeJob(submit.job()), Duration(submit.age_us()),
-            submit.may_redirect(), respond);
+            Duration(submit.patience_us()), submit.may_redirect(), respond);
     }
 
     static balsammill::internal::ShardJobAnswer::Result encodeResult(OwnerAnswer::Kind kind)
@@ -218,15 +236,16 @@
         return Message::IN_DOUBT;
     }
 
-    void handleCancel(const PeerLink& from, std::uint64_t number)
-    {
-        for (const auto& [name, server] : ownership.servers())
-            server->cancel({ .link = &from, .number = number });
-    }
-
     void handleStatus(PeerLink& from, const balsammill::internal::OwnerStatus& status)
     {
         const auto now = monotonicNow();
+        from.setLeaving(status.leaving());
+        for (const auto& shard : status.retiring()) {
+            std::set<Shards::UpstreamId> held;
+            for (const auto& upstream : shard.held_upstreams())
+                held.insert(Shards::UpstreamId(upstream));
+            ownership.handleRetiring(from.peer(), Shards::ShardName(shard.shard()), held);
+        }
         for (const auto& shard : status.shards())
             directory.noteStatus(Shards::ShardName(shard.shard()), Epoch(shard.epoch()),
                 { .freeMilliCores = shard.free_milli_cores(), .waitingJobs = shard.waiting_jobs(), .reportedAt = now });
@@ -256,15 +275,16 @@
 
     void handlePeerClosed(const PeerLink& link)
     {
-        log.event("peer.closed", { { "peer", link.peer().vm.value } });
+        if (!link.peer().vm.empty())
+            log.event("peer.lost", { { "peer", link.peer().vm.value } });
         ownership.handlePeerClosed(link);
         jobs.handlePeerClosed(link);
     }
 
-    void sendStatus(TimePoint now)
+    void sendStatus(TimePoint now, bool atOnce)
     {
-        const bool owner = !ownership.servers().empty();
-        if (now - statusAt < (owner ? ownerStatusInterval : statusInterval))
+        const bool owner = !ownership.ownsNothing();
+        if (!atOnce && now - statusAt < (owner ? ownerStatusInterval : statusInterval))
             return;
         statusAt = now;
         balsammill::internal::ShardPeerMessage message;
@@ -282,9 +302,29 @@
             out->set_capacity_milli_cores(load.capacityMilliCores);
             out->set_waiting_jobs(load.waitingJobs);
         }
+        for (const auto& [name, held] : retiringShards()) {
+            auto* out = status->add_retiring();
+            out->set_shard(name.value);
+            for (const auto& id : held)
+                out->add_held_upstreams(id.value);
+        }
         peers.sendToAll(message);
     }
 
+    // Shards that were handed over, with what is still held; those that are held no more are told for a while, because
+    // the new owner goes by the last word.
+    std::map<Shards::ShardName, std::vector<Shards::UpstreamId>> retiringShards()
+    {
+        std::map<Shards::ShardName, std::vector<Shards::UpstreamId>> shards;
+        for (const auto& name : everRetired)
+            shards[name] = {};
+        for (const auto& [name, server] : ownership.retiring()) {
+            everRetired.insert(name);
+            shards[name] = server->heldUpstreams();
+        }
+        return shards;
+    }
+
     void respondMetrics(HttpExchange& exchange)
     {
         metrics.gauge("store_calls", static_cast<double>(store.calls()));
@@ -318,7 +358,7 @@
         peers.advance(now);
         ownership.advance(now);
         jobs.advance(now);
-        sendStatus(now);
+        sendStatus(now, false);
         const bool nowReady = queues && !draining && jobs.canServe();
         if (nowReady != ready) {
             ready = nowReady;
@@ -367,7 +407,8 @@
         drainingSince = monotonicNow();
         log.event("process.draining", { { "open_requests", std::uint64_t { clientServer.openRequests() } } });
         clientServer.drain();
-        ownership.leave();
+        ownership.leave(drainingSince + context.settings.shutdownGrace - releaseMargin);
+        sendStatus(drainingSince, true);
     }
 
     void finishDraining(TimePoint now)
--- a/libs/node/src/JobClient.cpp
+++ b/libs/node/src/JobClient.cpp
@@ -46,11 +46,11 @@
 {
 }
 
-RequestNumber JobClient::submit(Shards::JobSpec spec, JobAnswerCallback callback)
+RequestNumber JobClient::submit(Shards::JobSpec spec, TimePoint answerBy, JobAnswerCallback callback)
 {
     const RequestNumber number { ++lastRequest_ };
     requests_[number]
-        = { .spec = std::move(spec), .callback = std::move(callback), .arrivedAt = monotonicNow() };
+        = { .spec = std::move(spec), .callback = std::move(callback), .arrivedAt = monotonicNow(), .answerBy = answerBy };
     dispatch(number);
     return number;
 }
@@ -110,10 +110,14 @@
     }
     ++request.attempts;
     request.shard = target->shard;
-    request.link = target->link.get();
-    const auto age = monotonicNow() - request.arrivedAt;
+    request.link = target->link;
+    const auto now = monotonicNow();
+    const auto age = now - request.arrivedAt;
+    const auto patience = request.answerBy == TimePoint::max()
+        ? Duration::zero()
+        : std::max<Duration>(request.answerBy - now, std::chrono::milliseconds(1));
     if (target->local != nullptr) {
-        target->local->submit({ .link = nullptr, .number = number.value }, request.spec, age, !request.redirected,
+        target->local->submit({ .link = nullptr, .number = number.value }, request.spec, age, patience, !request.redirected,
             [this, number](const OwnerAnswer& result) {
                 boost::asio::post(context_.loop, [this, number, result] { handleOwnerAnswer(number, result); });
             });
@@ -126,6 +130,7 @@
     encodeJob(request.spec, *submit->mutable_job());
     submit->set_age_us(age.count());
     submit->set_may_redirect(!request.redirected);
+    submit->set_patience_us(patience.count());
     target->link->send(message);
 }
 
@@ -136,15 +141,12 @@
         return;
     const auto request = std::move(found->second);
     requests_.erase(found);
-    if (request.link == nullptr) {
-        if (auto* local = ownership_.serverOf(request.shard))
-            local->cancel({ .link = nullptr, .number = number.value });
-        return;
-    }
-    if (const auto target = reach(request.shard); target && target->link.get() == request.link) {
+    // Numbers are not used twice, so a local server that does not have the submission ignores it.
+    ownership_.cancel({ .link = nullptr, .number = number.value });
+    if (const auto link = request.link.lock()) {
         balsammill::internal::ShardPeerMessage message;
         message.mutable_cancel()->set_submission(number.value);
-        target->link->send(message);
+        link->send(message);
     }
 }
 
@@ -201,7 +203,7 @@
 {
     std::vector<RequestNumber> lost;
     for (const auto& [number, request] : requests_) {
-        if (request.link == &link)
+        if (request.link.lock().get() == &link)
             lost.push_back(number);
     }
     for (const auto number : lost) {
--- a/libs/node/src/JobClient.h
+++ b/libs/node/src/JobClient.h
@@ -38,7 +38,8 @@
     JobClient(NodeContext&, PeerNetwork&, ShardDirectory&, ShardOwnership&);
 
     /// The callback is called once, never from within this call, unless the request is cancelled.
-    RequestNumber submit(Shards::JobSpec, JobAnswerCallback);
+    /// answerBy: until when the client waits.
+    RequestNumber submit(Shards::JobSpec, TimePoint answerBy, JobAnswerCallback);
     /// The client has gone.
     void cancel(RequestNumber);
     void handleAnswer(const balsammill::internal::ShardJobAnswer&);
@@ -55,8 +56,9 @@
         JobAnswerCallback callback {};
         TimePoint arrivedAt {};
         Shards::ShardName shard {};
-        // Null if the owner is this process.
-        const PeerLink* link { nullptr };
+        TimePoint answerBy {};
+        // Empty if the owner is this process.
+        std::weak_ptr<PeerLink> link {};
         unsigned attempts { 0 };
         bool redirected { false };
         std::vector<Shards::ShardName> refusedBy {};
--- a/libs/node/src/JobFront.cpp
+++ b/libs/node/src/JobFront.cpp
@@ -79,7 +79,9 @@
     const auto queueLabel = "queue=\"" + queue.name.value + "\"";
     if (context_.log.samples(id))
         context_.log.event("job.received", { { "id", id }, { "queue", queue.name.value } });
-    const auto number = jobs_.submit(std::move(submission.spec),
+    const auto patience = Platform::clientPatience(request);
+    const auto answerBy = patience ? arrivedAt + *patience : TimePoint::max();
+    const auto number = jobs_.submit(std::move(submission.spec), answerBy,
         [this, exchange, id, queueLabel, arrivedAt](const JobAnswer& answer) {
             const auto took = toMs(monotonicNow() - arrivedAt);
             const char* outcome = "in_doubt";
--- a/libs/node/src/PeerLink.h
+++ b/libs/node/src/PeerLink.h
@@ -51,7 +51,15 @@
     bool closed() const { return closed_; }
     TimePoint lastHeardAt() const { return lastHeardAt_; }
     const PeerId& peer() const { return peer_; }
-    void setPeer(PeerId peer) { peer_ = std::move(peer); }
+    const FailureDomain& domain() const { return domain_; }
+    void setPeer(PeerId peer, FailureDomain domain)
+    {
+        peer_ = std::move(peer);
+        domain_ = std::move(domain);
+    }
+    /// The other process has said that it is about to stop.
+    bool leaving() const { return leaving_; }
+    void setLeaving(bool leaving) { leaving_ = leaving; }
 
 private:
     void begin();
@@ -63,6 +71,8 @@
     MessageHandler onMessage_;
     EndHandler onEnd_;
     PeerId peer_;
+    FailureDomain domain_;
+    bool leaving_ { false };
     std::array<char, 16 * 1024> block_;
     std::string input_;
     std::string output_;
--- a/libs/node/src/PeerNetwork.cpp
+++ b/libs/node/src/PeerNetwork.cpp
@@ -126,7 +126,8 @@
 void PeerNetwork::handle(PeerLink& from, const balsammill::internal::ShardPeerMessage& message)
 {
     if (message.has_hello()) {
-        from.setPeer({ .vm = VmName(message.hello().vm()), .incarnation = Incarnation(message.hello().incarnation()) });
+        from.setPeer({ .vm = VmName(message.hello().vm()), .incarnation = Incarnation(message.hello().incarnation()) },
+            FailureDomain(message.hello().failure_domain()));
         for (auto& [address, entry] : outbound_) {
             if (entry.link.get() == &from)
                 entry.state = Shards::PeerState::Connected;
@@ -149,15 +150,42 @@
     handlers_.closed(ended);
 }
 
-void PeerNetwork::sendToAll(const balsammill::internal::ShardPeerMessage& message)
+std::vector<std::shared_ptr<PeerLink>> PeerNetwork::openLinks() const
 {
-    // A link that is full closes itself while it is sent to.
     std::vector<std::shared_ptr<PeerLink>> links(inbound_.begin(), inbound_.end());
-    for (auto& [address, entry] : outbound_) {
+    for (const auto& [address, entry] : outbound_) {
         if (entry.state == Shards::PeerState::Connected && entry.link)
             links.push_back(entry.link);
     }
-    for (const auto& link : links)
+    return links;
+}
+
+std::vector<std::shared_ptr<PeerLink>> PeerNetwork::peersIn(const FailureDomain& domain) const
+{
+    std::map<VmName, std::shared_ptr<PeerLink>> byVm;
+    for (const auto& link : openLinks()) {
+        if (link->domain() == domain && !link->leaving() && link->peer().vm != options_.self.vm)
+            byVm[link->peer().vm] = link;
+    }
+    std::vector<std::shared_ptr<PeerLink>> links;
+    for (const auto& [vm, link] : byVm)
+        links.push_back(link);
+    return links;
+}
+
+bool PeerNetwork::connectedTo(const PeerId& peer) const
+{
+    for (const auto& link : openLinks()) {
+        if (link->peer() == peer)
+            return true;
+    }
+    return false;
+}
+
+void PeerNetwork::sendToAll(const balsammill::internal::ShardPeerMessage& message)
+{
+    // A link that is full closes itself while it is sent to, so the loop runs over a copy.
+    for (const auto& link : openLinks())
         link->send(message);
 }
 
--- a/libs/node/src/PeerNetwork.h
+++ b/libs/node/src/PeerNetwork.h
@@ -34,6 +34,9 @@
     bool connectedToAny() const;
     /// Closes connections on which nothing was heard, and forgets addresses that nobody asked for lately.
     void advance(TimePoint now);
+    /// Open connections to entries of a failure domain that are not about to stop, one for each entry.
+    std::vector<std::shared_ptr<PeerLink>> peersIn(const FailureDomain&) const;
+    bool connectedTo(const PeerId&) const;
     void sendToAll(const balsammill::internal::ShardPeerMessage&);
 
 private:
@@ -48,6 +51,7 @@
     void connect(const NetworkAddress&, Outbound&, TimePoint now);
     void greet(PeerLink&);
     void handle(PeerLink&, const balsammill::internal::ShardPeerMessage&);
+    std::vector<std::shared_ptr<PeerLink>> openLinks() const;
     void handleEnd(PeerLink&, LinkEnd);
 
     boost::asio::io_context& context_;
--- a/libs/node/src/ShardDirectory.cpp
+++ b/libs/node/src/ShardDirectory.cpp
@@ -26,6 +26,8 @@
         .address = NetworkAddress(record.peer_address()),
         .renewal = record.renewal(),
         .released = record.released(),
+        .handedOverBy = VmName(record.handed_over_by()),
+        .handedOverByIncarnation = Incarnation(record.handed_over_by_incarnation()),
         .changedAt = now };
     return true;
 }
@@ -76,6 +78,8 @@
     record.set_peer_address(owner.address.value);
     record.set_renewal(owner.renewal);
     record.set_released(owner.released);
+    record.set_handed_over_by(owner.handedOverBy.value);
+    record.set_handed_over_by_incarnation(owner.handedOverByIncarnation.value);
     return { .table = table, .part = {}, .key = name.value, .value = record.SerializeAsString(), .version = owner.version };
 }
 
--- a/libs/node/src/ShardDirectory.h
+++ b/libs/node/src/ShardDirectory.h
@@ -20,6 +20,9 @@
     NetworkAddress address;
     std::uint64_t renewal { 0 };
     bool released { false };
+    /// The entry that hands the shard over to this owner; empty if the former owner is gone.
+    VmName handedOverBy {};
+    Incarnation handedOverByIncarnation {};
     TimePoint changedAt {};
 };
 
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ShardOwnership.cpp
@@ -1,5 +1,6 @@
 #include "ShardOwnership.h"
 
+#include "balsammill/internal/shard.pb.h"
 #include "platform/Documents.h"
 #include "platform/Json.h"
 
@@ -20,6 +21,12 @@
 // Registrations that lapsed in an outage are back within two seconds of its end, if the upstream lives.
 constexpr Duration registrationGrace = std::chrono::milliseconds(2500);
 // An outage this recent may be the reason why a registration vanished.
+// Changes of registrations are read in bundles; a leaving upstream gets no more work after this time and a read.
+constexpr Duration registrationPause = std::chrono::milliseconds(250);
+// An entry that was asked to take a shard over writes its claim within this time.
+constexpr Duration handOverPatience = std::chrono::milliseconds(400);
+// How long a new owner waits for word from the entry that handed the shard over.
+constexpr Duration predecessorPatience = std::chrono::milliseconds(1500);
 constexpr Duration recentOutage = std::chrono::seconds(5);
 
 std::uint64_t stableHash(std::string_view text)
@@ -42,7 +49,21 @@
     , startedAt_(monotonicNow())
     , alive_(std::make_shared<bool>(true))
 {
-    upstreamRows_ = std::make_unique<TableFollower>(context.loop, store, Platform::upstreamTable,
+}
+
+void ShardOwnership::followUpstreams()
+{
+    // Registrations change with every heartbeat, so only owners read them, and entries that have to divide them.
+    const bool needed = !servers_.empty() || (records_.loaded() && !directory_.shardsPerDomain());
+    if (!needed) {
+        upstreamRows_.reset();
+        upstreams_.clear();
+        vanished_.clear();
+        return;
+    }
+    if (upstreamRows_)
+        return;
+    upstreamRows_ = std::make_unique<TableFollower>(context_.loop, store_, Platform::upstreamTable, registrationPause,
         TableFollower::Handlers { .changed = [this](const Platform::Row& row) { handleUpstreamRow(row); },
             .removed = [this](const std::string& key) { handleUpstreamRemoved(key); },
             .answering = [](bool, const std::string&) {} });
@@ -64,7 +85,7 @@
 
 void ShardOwnership::decideLayout(TimePoint now)
 {
-    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !upstreamRows_->loaded()
+    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !upstreamRows_ || !upstreamRows_->loaded()
         || now - startedAt_ < layoutDelay || upstreams_.empty())
         return;
     std::map<FailureDomain, std::size_t> perDomain;
@@ -90,6 +111,7 @@
 
 void ShardOwnership::advance(TimePoint now)
 {
+    followUpstreams();
     decideLayout(now);
     for (auto it = vanished_.begin(); it != vanished_.end();) {
         if (now < it->second) {
@@ -116,10 +138,22 @@
         const auto* server = serverOf(name);
         if (server == nullptr || pending.writing || now < pending.retryAt)
             continue;
-        if (leaving_ && server->unfinishedJobs() == 0)
+        if (leaving_ && now >= releaseAt_)
             renew(name, now, true);
         else if (now >= pending.renewAt)
             renew(name, now, false);
+        if (leaving_ && now >= pending.askAgainAt)
+            handOver(name, now);
+    }
+    std::erase_if(retiring_, [](const auto& entry) {
+        entry.second->advance();
+        return entry.second->heldUpstreams().empty() && entry.second->unfinishedJobs() == 0;
+    });
+    for (auto& [name, server] : servers_) {
+        const auto* owner = directory_.find(name);
+        const bool overdue = owner != nullptr && now - owner->changedAt > predecessorPatience;
+        if (!server->predecessor().vm.empty() && overdue && !peers_.connectedTo(server->predecessor()))
+            server->handlePredecessorGone();
     }
 }
 
@@ -149,21 +183,72 @@
     }
     const auto at = Shards::claimTime(question);
     if (at && now >= *at)
-        claim(name, now);
+        claim(name, {}, now);
 }
 
-void ShardOwnership::claim(const Shards::ShardName& name, TimePoint now)
+void ShardOwnership::handleTakeOver(const PeerLink& from, const Shards::ShardName& name, Epoch epoch)
+{
+    const auto* owner = directory_.find(name);
+    if (leaving_ || owner == nullptr || owner->epoch != epoch || owner->vm != from.peer().vm || pending_[name].writing)
+        return;
+    claim(name, from.peer(), monotonicNow());
+}
+
+void ShardOwnership::handOver(const Shards::ShardName& name, TimePoint now)
+{
+    const auto candidates = peers_.peersIn(context_.settings.domain);
+    if (candidates.empty())
+        return;
+    auto& pending = pending_[name];
+    pending.askAgainAt = now + handOverPatience;
+    const auto& candidate = candidates[pending.asked++ % candidates.size()];
+    context_.log.event("shard.offered", { { "shard", name.value }, { "to", candidate->peer().vm.value } });
+    balsammill::internal::ShardPeerMessage message;
+    message.mutable_take_over()->set_shard(name.value);
+    message.mutable_take_over()->set_epoch(servers_.at(name)->epoch().value);
+    candidate->send(message);
+}
+
+void ShardOwnership::retire(const Shards::ShardName& name)
+{
+    auto server = std::move(servers_.at(name));
+    servers_.erase(name);
+    server->retire();
+    context_.log.event("shard.handed_over",
+        { { "shard", name.value }, { "epoch", server->epoch().value },
+            { "unfinished_jobs", std::uint64_t { server->unfinishedJobs() } } });
+    retiring_[name] = std::move(server);
+}
+
+void ShardOwnership::handleRetiring(
+    const PeerId& peer, const Shards::ShardName& name, const std::set<Shards::UpstreamId>& held)
+{
+    auto* server = serverOf(name);
+    if (server != nullptr && server->predecessor() == peer)
+        server->handlePredecessorHolds(held);
+}
+
+void ShardOwnership::cancel(const Submitter& submitter)
+{
+    for (auto& [name, server] : servers_)
+        server->cancel(submitter);
+    for (auto& [name, server] : retiring_)
+        server->cancel(submitter);
+}
+
+void ShardOwnership::claim(const Shards::ShardName& name, const PeerId& handedOverBy, TimePoint now)
 {
     const auto* previous = directory_.find(name);
     ShardOwner next { .version = previous == nullptr ? Platform::RowVersion() : previous->version,
         .epoch = Epoch((previous == nullptr ? 0 : previous->epoch.value) + 1),
         .vm = context_.settings.vm,
         .incarnation = context_.incarnation,
-        .address = context_.settings.peerListen };
+        .address = context_.settings.peerListen,
+        .handedOverBy = handedOverBy.vm,
+        .handedOverByIncarnation = handedOverBy.incarnation };
     const auto row = ShardDirectory::encode(name, next);
     auto& pending = pending_[name];
     pending.writing = true;
-    pending.releaseWritten = false;
     const std::string previousOwner = previous == nullptr ? "none" : previous->vm.value;
     const std::int64_t unchangedMs = previous == nullptr ? -1 : (now - previous->changedAt).count() / 1000;
     store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
@@ -180,7 +265,7 @@
                 context_.log.event("shard.gained",
                     { { "shard", name.value }, { "epoch", next.epoch.value }, { "previous", previousOwner },
                         { "unchanged_ms", unchangedMs } });
-                startServer(name, next.epoch);
+                startServer(name, next);
                 return;
             }
             adoptRows(result);
@@ -202,8 +287,6 @@
     auto& pending = pending_[name];
     pending.writing = true;
     pending.renewAt = now + renewInterval;
-    if (release)
-        servers_.at(name)->stopAdmitting();
     store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
         [this, alive = alive_, name, next, release](const Platform::RowsResult& result) {
             if (!*alive)
@@ -241,21 +324,28 @@
     if (owner == nullptr)
         return;
     const bool serving = servers_.contains(name);
+    const bool handedOver = owner->handedOverBy == context_.settings.vm
+        && owner->handedOverByIncarnation == context_.incarnation;
+    if (serving && !isMine(*owner) && handedOver) {
+        retire(name);
+        return;
+    }
     if (serving && !isMine(*owner)) {
         lose(name, "the record names another owner");
         return;
     }
     // A claim whose answer was lost has been done after all.
     if (!serving && isMine(*owner) && !owner->released && !pending_[name].writing && !leaving_)
-        startServer(name, owner->epoch);
+        startServer(name, *owner);
 }
 
-void ShardOwnership::startServer(const Shards::ShardName& name, Epoch epoch)
+void ShardOwnership::startServer(const Shards::ShardName& name, const ShardOwner& record)
 {
     if (servers_.contains(name))
         return;
     pending_[name].renewAt = monotonicNow() + renewInterval;
-    servers_[name] = std::make_unique<ShardServer>(context_, name, epoch,
+    servers_[name] = std::make_unique<ShardServer>(context_, name, record.epoch,
+        PeerId { .vm = record.handedOverBy, .incarnation = record.handedOverByIncarnation },
         ShardServer::Handlers { .otherShards =
                                     [this, name] {
                                         std::vector<Shards::OtherShard> others;
@@ -271,12 +361,20 @@
                                         return others;
                                     },
             .fenced = [this, name] { lose(name, "an upstream has seen a higher fencing token"); } });
+    followUpstreams();
     for (const auto& [id, info] : upstreams_)
         offerUpstream(info);
 }
 
 void ShardOwnership::lose(const Shards::ShardName& name, std::string_view reason)
 {
+    if (const auto found = retiring_.find(name); found != retiring_.end() && !servers_.contains(name)) {
+        context_.log.event("shard.lost", { { "shard", name.value }, { "reason", reason } });
+        const auto server = std::move(found->second);
+        retiring_.erase(found);
+        server->abandon();
+        return;
+    }
     const auto found = servers_.find(name);
     if (found == servers_.end())
         return;
@@ -291,15 +389,22 @@
 
 void ShardOwnership::handlePeerClosed(const PeerLink& link)
 {
-    for (auto& [name, server] : servers_)
+    for (auto& [name, server] : servers_) {
+        server->cancelAllOf(link);
+        if (server->predecessor() == link.peer() && !peers_.connectedTo(link.peer()))
+            server->handlePredecessorGone();
+    }
+    for (auto& [name, server] : retiring_)
         server->cancelAllOf(link);
 }
 
-void ShardOwnership::leave()
+void ShardOwnership::leave(TimePoint releaseAt)
 {
     leaving_ = true;
+    releaseAt_ = releaseAt;
+    const auto now = monotonicNow();
     for (auto& [name, server] : servers_)
-        server->stopAdmitting();
+        handOver(name, now);
 }
 
 Shards::ShardName ShardOwnership::shardOf(const Shards::UpstreamInfo& info) const
@@ -344,7 +449,7 @@
     if (!upstreams_.contains(id))
         return;
     const auto now = monotonicNow();
-    const bool outage = now - upstreamRows_->failedAt() < recentOutage;
+    const bool outage = upstreamRows_ && now - upstreamRows_->failedAt() < recentOutage;
     vanished_[id] = outage ? now + registrationGrace : now;
 }
 
--- a/libs/node/src/ShardOwnership.h
+++ b/libs/node/src/ShardOwnership.h
@@ -25,23 +25,35 @@
     void handleRecordChange(const Shards::ShardName&);
     void handlePeerClosed(const PeerLink&);
     void advance(TimePoint now);
-    /// Gives all shards up once their jobs have ended, and claims no more.
-    void leave();
-    bool ownsNothing() const { return servers_.empty(); }
+    /// Cancels a submission at whatever server has it.
+    void cancel(const Submitter&);
+    /// Claims no more shards, and hands those that are owned to other entries of the failure domain. Without another
+    /// entry they are served until the deadline and then released.
+    void leave(TimePoint releaseAt);
+    bool ownsNothing() const { return servers_.empty() && retiring_.empty(); }
+    void handleTakeOver(const PeerLink& from, const Shards::ShardName&, Epoch);
+    /// A predecessor has said on which upstreams its tasks still run.
+    void handleRetiring(const PeerId&, const Shards::ShardName&, const std::set<Shards::UpstreamId>& held);
+    /// Shards that this entry has handed over and on whose upstreams its tasks still run.
+    const std::map<Shards::ShardName, std::unique_ptr<ShardServer>>& retiring() const { return retiring_; }
 
 private:
     struct Pending {
         bool writing { false };
         TimePoint renewAt {};
         TimePoint retryAt {};
-        bool releaseWritten { false };
+        TimePoint askAgainAt {};
+        unsigned asked { 0 };
     };
 
     void decideLayout(TimePoint now);
     void considerClaim(const Shards::ShardName&, TimePoint now);
-    void claim(const Shards::ShardName&, TimePoint now);
+    void claim(const Shards::ShardName&, const PeerId& handedOverBy, TimePoint now);
+    void handOver(const Shards::ShardName&, TimePoint now);
+    void retire(const Shards::ShardName&);
+    void followUpstreams();
     void renew(const Shards::ShardName&, TimePoint now, bool release);
-    void startServer(const Shards::ShardName&, Epoch);
+    void startServer(const Shards::ShardName&, const ShardOwner&);
     void lose(const Shards::ShardName&, std::string_view reason);
     void adoptRows(const Platform::RowsResult&);
     bool isMine(const ShardOwner&) const;
@@ -60,7 +72,9 @@
     // Registrations that vanished while the store was disturbed, with the time at which they count as gone.
     std::map<Shards::UpstreamId, TimePoint> vanished_;
     std::map<Shards::ShardName, std::unique_ptr<ShardServer>> servers_;
+    std::map<Shards::ShardName, std::unique_ptr<ShardServer>> retiring_;
     std::map<Shards::ShardName, Pending> pending_;
+    TimePoint releaseAt_ {};
     TimePoint startedAt_ {};
     bool layoutWriting_ { false };
     bool leaving_ { false };
--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -42,11 +42,13 @@
 
 } // namespace
 
-ShardServer::ShardServer(NodeContext& context, Shards::ShardName name, Epoch epoch, Handlers handlers)
+ShardServer::ShardServer(
+    NodeContext& context, Shards::ShardName name, Epoch epoch, PeerId predecessor, Handlers handlers)
     : context_(context)
     , name_(std::move(name))
     , epoch_(epoch)
     , handlers_(std::move(handlers))
+    , predecessor_(std::move(predecessor))
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -71,14 +73,24 @@
     const bool moved = !known.address.empty() && known.address != info.address;
     const bool drains = info.draining && !known.draining;
     known = info;
-    engine_.updateUpstream(info, now);
     if (drains)
         context_.log.event("upstream.draining", { { "upstream", info.id.value }, { "shard", name_.value } });
-    if (moved) {
-        sessions_[info.id]->close();
-        sessions_.erase(info.id);
+    if (const auto found = sessions_.find(info.id); moved && found != sessions_.end()) {
+        found->second->close();
+        sessions_.erase(found);
         engine_.handleLeaseExpired(info.id, now);
     }
+    const bool withheld = !predecessor_.vm.empty() && (!heldByPredecessor_ || heldByPredecessor_->contains(info.id));
+    if (withheld || retiring_)
+        return;
+    openSession(info);
+    progress();
+}
+
+void ShardServer::openSession(const Shards::UpstreamInfo& info)
+{
+    const auto now = monotonicNow();
+    engine_.updateUpstream(info, now);
     if (!sessions_.contains(info.id)) {
         auto opened = std::make_shared<UpstreamSession>(context_, engine_, info, epoch_,
             UpstreamSession::Handlers { .progressed = [this] { progress(); },
@@ -93,9 +105,52 @@
         sessions_[info.id] = opened;
         opened->advance(now);
     }
+}
+
+void ShardServer::handlePredecessorHolds(const std::set<Shards::UpstreamId>& held)
+{
+    if (predecessor_.vm.empty() || heldByPredecessor_ == held)
+        return;
+    heldByPredecessor_ = held;
+    for (const auto& [id, info] : upstreams_) {
+        if (!held.contains(id) && !sessions_.contains(id))
+            openSession(info);
+    }
+    if (held.empty())
+        predecessor_ = PeerId();
     progress();
 }
 
+void ShardServer::handlePredecessorGone() { handlePredecessorHolds({}); }
+
+void ShardServer::retire()
+{
+    retiring_ = true;
+    releaseIdle();
+}
+
+void ShardServer::releaseIdle()
+{
+    if (engine_.waitingTasks() > 0)
+        return;
+    const auto now = monotonicNow();
+    std::erase_if(sessions_, [&](const auto& entry) {
+        if (engine_.isBusy(entry.first))
+            return false;
+        engine_.removeUpstream(entry.first, now);
+        entry.second->close();
+        return true;
+    });
+}
+
+std::vector<Shards::UpstreamId> ShardServer::heldUpstreams() const
+{
+    std::vector<Shards::UpstreamId> held;
+    for (const auto& [id, session] : sessions_)
+        held.push_back(id);
+    return held;
+}
+
 void ShardServer::removeUpstream(const Shards::UpstreamId& id)
 {
     if (upstreams_.erase(id) == 0)
@@ -106,14 +161,15 @@
 }
 
 void ShardServer::submit(
-    const Submitter& submitter, Shards::JobSpec spec, Duration age, bool mayRedirect, OwnerAnswerCallback callback)
+    const Submitter& submitter, Shards::JobSpec spec, Duration age, Duration patience, bool mayRedirect,
+    OwnerAnswerCallback callback)
 {
     const auto now = monotonicNow();
-    if (!admitting_ || abandoned_) {
+    if (retiring_ || abandoned_) {
         callback({ .kind = OwnerAnswer::Kind::NotOwner, .retryAfter = {}, .redirect = {} });
         return;
     }
-    const auto forecast = engine_.forecast(spec, now - age);
+    const auto forecast = engine_.forecast(spec, now - age, now);
     const auto decision = Shards::decideAdmission({ .job = spec,
         .forecast = forecast,
         .others = mayRedirect ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
@@ -154,7 +210,8 @@
         .queue = spec.queue.value,
         .acceptedAt = now };
     bySubmitter_[submitter] = number;
-    engine_.submit(number, std::make_shared<const Shards::JobSpec>(std::move(spec)), now - age);
+    engine_.submit(number, std::make_shared<const Shards::JobSpec>(std::move(spec)), now - age,
+        patience > Duration::zero() ? now + patience : TimePoint::max());
     progress();
 }
 
@@ -282,6 +339,8 @@
         return gone;
     });
     progress();
+    if (retiring_)
+        releaseIdle();
 }
 
 } // namespace Balsammill
--- a/libs/node/src/ShardServer.h
+++ b/libs/node/src/ShardServer.h
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <memory>
 #include <unordered_map>
 #include <variant>
@@ -53,7 +55,8 @@
         std::function<void()> fenced;
     };
 
-    ShardServer(NodeContext&, Shards::ShardName, Epoch, Handlers);
+    /// predecessor: the entry that hands the shard over and may still use upstreams; empty if there is none.
+    ShardServer(NodeContext&, Shards::ShardName, Epoch, PeerId predecessor, Handlers);
     ~ShardServer();
 
     const Shards::ShardName& name() const { return name_; }
@@ -64,12 +67,20 @@
 
     /// age: time since the client's request arrived. The callback is called exactly once, unless the submission is
     /// cancelled or the server destroyed.
-    void submit(const Submitter&, Shards::JobSpec, Duration age, bool mayRedirect, OwnerAnswerCallback);
+    void submit(const Submitter&, Shards::JobSpec, Duration age, Duration patience, bool mayRedirect, OwnerAnswerCallback);
     void cancel(const Submitter&);
     /// Cancels every submission that came over a connection.
     void cancelAllOf(const PeerLink&);
-    /// From now on submissions are answered with NotOwner; jobs that were accepted go on.
-    void stopAdmitting() { admitting_ = false; }
+    const PeerId& predecessor() const { return predecessor_; }
+    /// The predecessor still uses these upstreams; all others may be used here.
+    void handlePredecessorHolds(const std::set<Shards::UpstreamId>&);
+    /// The predecessor is gone; what runs on its upstreams is stopped.
+    void handlePredecessorGone();
+
+    /// Another entry owns the shard now. Submissions are answered with NotOwner; jobs that were accepted go on on the
+    /// upstreams that are held until nothing runs on them.
+    void retire();
+    std::vector<Shards::UpstreamId> heldUpstreams() const;
     /// Answers every open submission with InDoubt and stops talking to upstreams.
     void abandon();
 
@@ -90,6 +101,8 @@
     void carryOut(Shards::ShardActions);
     void finish(const Shards::FinishJob&);
     UpstreamSession* session(const Shards::UpstreamId&);
+    void openSession(const Shards::UpstreamInfo&);
+    void releaseIdle();
 
     NodeContext& context_;
     Shards::ShardName name_;
@@ -101,7 +114,10 @@
     std::unordered_map<Shards::SubmissionId, Open> open_;
     std::map<Submitter, Shards::SubmissionId> bySubmitter_;
     std::uint64_t lastSubmission_ { 0 };
-    bool admitting_ { true };
+    PeerId predecessor_;
+    // Empty while the predecessor has not said what it holds.
+    std::optional<std::set<Shards::UpstreamId>> heldByPredecessor_;
+    bool retiring_ { false };
     bool progressing_ { false };
     bool progressAgain_ { false };
     bool abandoned_ { false };
--- a/libs/node/src/TableFollower.cpp
+++ b/libs/node/src/TableFollower.cpp
@@ -18,10 +18,11 @@
 } // namespace
 
 TableFollower::TableFollower(
-    boost::asio::io_context& context, Platform::Store& store, std::string table, Handlers handlers)
+    boost::asio::io_context& context, Platform::Store& store, std::string table, Duration pause, Handlers handlers)
     : store_(store)
     , retryTimer_(context)
     , table_(std::move(table))
+    , pause_(pause)
     , handlers_(std::move(handlers))
     , alive_(std::make_shared<bool>(true))
 {
@@ -93,7 +94,23 @@
         version_ = std::max(version_, result.version);
         currentAt_ = monotonicNow();
         succeed();
-        follow();
+        if (result.rows.empty() || pause_ == Duration::zero())
+            follow();
+        else
+            followAfter(pause_);
+    });
+}
+
+void TableFollower::followAfter(Duration delay)
+{
+    retryTimer_.expires_after(delay);
+    retryTimer_.async_wait([this, alive = alive_](const boost::system::error_code& error) {
+        if (error || !*alive)
+            return;
+        if (loaded_)
+            follow();
+        else
+            load({});
     });
 }
 
@@ -119,15 +136,7 @@
         handlers_.answering(false, reason);
     }
     retryDelay_ = std::clamp(retryDelay_ * 2, firstRetryDelay, longestRetryDelay);
-    retryTimer_.expires_after(retryDelay_);
-    retryTimer_.async_wait([this, alive = alive_](const boost::system::error_code& error) {
-        if (error || !*alive)
-            return;
-        if (loaded_)
-            follow();
-        else
-            load({});
-    });
+    followAfter(retryDelay_);
 }
 
 void TableFollower::succeed()
--- a/libs/node/src/TableFollower.h
+++ b/libs/node/src/TableFollower.h
@@ -23,7 +23,8 @@
         std::function<void(bool answering, const std::string& reason)> answering;
     };
 
-    TableFollower(boost::asio::io_context&, Platform::Store&, std::string table, Handlers);
+    /// pause: least time between a change and the next request, which bundles changes of busy tables.
+    TableFollower(boost::asio::io_context&, Platform::Store&, std::string table, Duration pause, Handlers);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -40,6 +41,7 @@
     void load(const std::string& fromKey);
     void finishLoad(Platform::RowVersion);
     void follow();
+    void followAfter(Duration);
     void apply(const Platform::Row&);
     void fail(const std::string& reason);
     void succeed();
@@ -47,6 +49,7 @@
     Platform::Store& store_;
     boost::asio::steady_timer retryTimer_;
     std::string table_;
+    Duration pause_;
     Handlers handlers_;
     std::map<std::string, Platform::RowVersion> rows_;
     std::map<std::string, Platform::RowVersion> loading_;
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -22,6 +22,11 @@
     /// No upstream of the shard could ever run one of its tasks.
     bool impossible { false };
 
+    /// Waiting work of accepted jobs that would miss their objective only because of this job, in core time.
+    Duration displacedWork {};
+    /// Work of this job, in core time.
+    Duration ownWork {};
+
     bool meetsObjective() const { return !impossible && endAt <= objectiveAt; }
 };
 
@@ -63,13 +68,14 @@
 
     // Jobs.
 
-    JobForecast forecast(const JobSpec&, TimePoint now) const;
+    JobForecast forecast(const JobSpec&, TimePoint arrivedAt, TimePoint now) const;
     /// Accepts a job. If a job of that id is unfinished, the submission takes it over.
-    void submit(SubmissionId, std::shared_ptr<const JobSpec>, TimePoint now);
+    /// arrivedAt: when the client's request arrived. answerBy: until when the client waits.
+    void submit(SubmissionId, std::shared_ptr<const JobSpec>, TimePoint arrivedAt, TimePoint answerBy);
     /// The submitter has lost interest: waiting tasks are dropped and running ones stopped.
     void cancel(SubmissionId, TimePoint now);
 
-    /// Notices tasks that take far too long, and ends penalties that have run out.
+    /// Notices tasks that take far too long, and gives up jobs that have not started and can no longer end in time.
     void advance(TimePoint now);
     /// Places what fits. Call it after any events and before takeActions().
     void schedule(TimePoint now);
@@ -83,6 +89,7 @@
     /// Highest sequence of an end that was handled.
     std::uint64_t lastEndHandled(const UpstreamId&) const;
     std::size_t unfinishedJobs() const;
+    std::size_t waitingTasks() const;
     /// Jobs of a queue of which no task has started yet.
     std::size_t waitingJobs(const QueueName&) const;
 
@@ -114,7 +121,11 @@
     bool placeStep(Job&, std::uint32_t step, Blocked&, TimePoint now);
     bool placeGang(Job&, std::uint32_t step, Blocked&, TimePoint now);
     std::vector<TimePoint> placesFreeAt(const JobSpec&, const StepSpec&, TimePoint now) const;
-    std::vector<Job*> jobsInOrder(TimePoint now) const;
+    struct Place;
+    struct Plan;
+    std::vector<Place> jobsInOrder(TimePoint now) const;
+    Plan plan(std::vector<Place>, const JobSpec& sizedFor, TimePoint now) const;
+    void giveUpHopeless(TimePoint now);
 
     RunTimeModel model_;
     std::map<UpstreamId, Upstream> upstreams_;
--- a/libs/shards/src/Admission.cpp
+++ b/libs/shards/src/Admission.cpp
@@ -25,7 +25,8 @@
 AdmissionDecision decideAdmission(const AdmissionQuestion& question)
 {
     const auto& forecast = question.forecast;
-    if (forecast.meetsObjective())
+    // A job that makes accepted ones miss their objective is worth it only if less work is lost than gained.
+    if (forecast.meetsObjective() && forecast.displacedWork <= forecast.ownWork)
         return AcceptJob {};
     const OtherShard* best = nullptr;
     const auto needed = static_cast<std::int64_t>(roomMargin * static_cast<double>(widestNeed(question.job)));
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -34,21 +34,24 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-void ShardEngine::submit(SubmissionId submission, std::shared_ptr<const JobSpec> spec, TimePoint now)
+void ShardEngine::submit(
+    SubmissionId submission, std::shared_ptr<const JobSpec> spec, TimePoint arrivedAt, TimePoint answerBy)
 {
     if (auto* existing = findJob(spec->id)) {
         actions_.emplace_back(
             FinishJob { .submission = existing->submission, .job = spec->id, .result = JobResult::Superseded });
         submissions_.erase(existing->submission);
         existing->submission = submission;
+        existing->answerBy = answerBy;
         submissions_[submission] = spec->id;
         return;
     }
     auto job = std::make_unique<Job>();
     job->submission = submission;
-    job->submittedAt = now;
+    job->submittedAt = arrivedAt;
+    job->answerBy = answerBy;
     const auto longestChain = chain(*spec);
-    job->objectiveAt = now + spec->targetOverhead
+    job->objectiveAt = arrivedAt + spec->targetOverhead
         + Duration(static_cast<Duration::rep>(spec->stretch * static_cast<double>(longestChain.count())));
     for (const auto& step : spec->steps) {
         job->steps.emplace_back();
@@ -272,6 +275,16 @@
 
 std::size_t ShardEngine::unfinishedJobs() const { return jobs_.size(); }
 
+std::size_t ShardEngine::waitingTasks() const
+{
+    std::size_t waiting = 0;
+    for (const auto& [id, job] : jobs_) {
+        for (const auto& step : job->steps)
+            waiting += step.waiting;
+    }
+    return waiting;
+}
+
 std::size_t ShardEngine::waitingJobs(const QueueName& queue) const
 {
     return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(),
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -2,6 +2,8 @@
 
 #include "balsammill/shards/ShardEngine.h"
 
+#include <algorithm>
+
 namespace Balsammill::Shards {
 
 enum class RunState {
@@ -70,6 +72,7 @@
     std::vector<Step> steps;
     TimePoint submittedAt {};
     TimePoint objectiveAt {};
+    TimePoint answerBy { TimePoint::max() };
     TimePoint firstStartAt {};
     TimePoint lastStartAt {};
     RunNumber highestRun;
@@ -77,6 +80,32 @@
 
     // Expected run time of a task, by its completed siblings if there are any.
     Duration expectedRunTime(const RunTimeModel&, std::uint32_t step) const;
+    // Without a start until then, the job ends too late to be of use.
+    TimePoint uselessAfter() const { return std::min(answerBy, objectiveAt + 2 * (objectiveAt - submittedAt)); }
+};
+
+// A job's position in the order in which waiting tasks are placed.
+struct ShardEngine::Place {
+    // It misses its objective even if it starts now.
+    bool late { false };
+    TimePoint latestStart {};
+    // Null for a job that has not been accepted.
+    Job* job { nullptr };
+    const JobSpec* spec { nullptr };
+
+    bool before(const Place& other) const
+    {
+        if (late != other.late)
+            return other.late;
+        return latestStart < other.latestStart;
+    }
+};
+
+// When jobs would end if their tasks were placed in order.
+struct ShardEngine::Plan {
+    std::vector<Place> order;
+    // Same positions as order.
+    std::vector<TimePoint> endAt;
 };
 
 } // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -177,6 +177,7 @@
 {
     for (auto& [id, upstream] : upstreams_)
         checkOverdue(upstream, now);
+    giveUpHopeless(now);
     std::erase_if(recentJobs_, [now](const auto& entry) { return entry.second.forgetAt <= now; });
 }
 
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -211,14 +211,9 @@
     return longest;
 }
 
-std::vector<ShardEngine::Job*> ShardEngine::jobsInOrder(TimePoint now) const
+std::vector<ShardEngine::Place> ShardEngine::jobsInOrder(TimePoint now) const
 {
-    struct Entry {
-        bool late;
-        TimePoint latestStart;
-        Job* job;
-    };
-    std::vector<Entry> entries;
+    std::vector<Place> order;
     for (const auto& [id, job] : jobs_) {
         bool waits = false;
         for (std::uint32_t i = 0; i < job->steps.size(); ++i)
@@ -227,26 +222,24 @@
             continue;
         const auto latestStart = job->objectiveAt - remainingChain(*job);
         // A job that has begun keeps its place, so that the work done for it is not wasted by waiting.
-        entries.push_back({ .late = latestStart < now && !job->started, .latestStart = latestStart, .job = job.get() });
+        order.push_back({ .late = latestStart < now && !job->started,
+            .latestStart = latestStart,
+            .job = job.get(),
+            .spec = job->spec.get() });
     }
-    std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
-        if (a.late != b.late)
-            return b.late;
-        if (a.latestStart != b.latestStart)
-            return a.latestStart < b.latestStart;
+    std::sort(order.begin(), order.end(), [](const Place& a, const Place& b) {
+        if (a.before(b) != b.before(a))
+            return a.before(b);
         return a.job->submission < b.job->submission;
     });
-    std::vector<Job*> jobs;
-    jobs.reserve(entries.size());
-    for (const auto& entry : entries)
-        jobs.push_back(entry.job);
-    return jobs;
+    return order;
 }
 
 void ShardEngine::schedule(TimePoint now)
 {
     Blocked blocked;
-    for (auto* job : jobsInOrder(now)) {
+    for (const auto& place : jobsInOrder(now)) {
+        auto* job = place.job;
         for (std::uint32_t i = 0; i < job->steps.size(); ++i) {
             const auto& step = job->spec->steps[i];
             if (!stepIsReady(*job, i) || blocked.covers(job->spec->service, step.need))
@@ -306,44 +299,84 @@
     return places;
 }
 
-JobForecast ShardEngine::forecast(const JobSpec& spec, TimePoint now) const
+ShardEngine::Plan ShardEngine::plan(std::vector<Place> order, const JobSpec& sizedFor, TimePoint now) const
+{
+    // Places are counted in tasks of one size; tasks of the queues of one service are of similar size.
+    Forecast places(placesFreeAt(sizedFor, sizedFor.steps.front(), now), now);
+    Plan plan;
+    for (const auto& place : order) {
+        std::vector<TimePoint> endOf(place.spec->steps.size(), now);
+        TimePoint end = now;
+        for (std::uint32_t i = 0; i < endOf.size(); ++i) {
+            TimePoint begin = now;
+            for (const auto earlier : place.spec->steps[i].after)
+                begin = std::max(begin, endOf[earlier]);
+            const auto tasks = place.job == nullptr ? place.spec->steps[i].count : place.job->steps[i].waiting;
+            if (tasks == 0)
+                continue;
+            const auto runTime = place.job == nullptr ? model_.predict(*place.spec, place.spec->steps[i])
+                                                      : place.job->expectedRunTime(model_, i);
+            endOf[i] = places.add({ .tasks = tasks, .runTime = runTime }, begin);
+            end = std::max(end, endOf[i]);
+        }
+        plan.endAt.push_back(end);
+    }
+    plan.order = std::move(order);
+    return plan;
+}
+
+JobForecast ShardEngine::forecast(const JobSpec& spec, TimePoint arrivedAt, TimePoint now) const
 {
     JobForecast result;
     const auto longestChain = chain(spec);
-    result.objectiveAt = now + spec.targetOverhead
+    result.objectiveAt = arrivedAt + spec.targetOverhead
         + Duration(static_cast<Duration::rep>(spec.stretch * static_cast<double>(longestChain.count())));
     for (const auto& step : spec.steps) {
         const bool possible = std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
             return entry.second.registered && !entry.second.info.draining && canHold(entry.second, spec, step);
         });
         result.impossible = result.impossible || !possible;
+        const auto coreTime = model_.predict(spec, step) * step.count * step.need.milliCores / 1000;
+        result.ownWork += coreTime;
     }
     if (result.impossible || spec.steps.empty())
         return result;
-    // Places are counted in tasks of the first step; the queued work is scaled to that size.
-    const auto& first = spec.steps.front();
-    Forecast places(placesFreeAt(spec, first, now), now);
-    const auto latestStart = result.objectiveAt - longestChain;
-    for (const auto* job : jobsInOrder(now)) {
-        const bool late = job->objectiveAt - remainingChain(*job) < now && !job->started;
-        if (late || job->objectiveAt - remainingChain(*job) > latestStart)
+
+    const Place own { .late = false, .latestStart = result.objectiveAt - longestChain, .job = nullptr, .spec = &spec };
+    const auto before = jobsInOrder(now);
+    auto with = before;
+    const auto position = std::upper_bound(
+        with.begin(), with.end(), own, [](const Place& a, const Place& b) { return a.before(b); });
+    const auto index = static_cast<std::size_t>(position - with.begin());
+    with.insert(position, own);
+    const auto planned = plan(std::move(with), spec, now);
+    result.endAt = planned.endAt[index];
+    if (index + 1 == planned.order.size())
+        return result;
+    const auto unchanged = plan(before, spec, now);
+    for (std::size_t i = index; i < before.size(); ++i) {
+        const auto* job = before[i].job;
+        if (unchanged.endAt[i] > job->objectiveAt || planned.endAt[i + 1] <= job->objectiveAt)
             continue;
-        for (std::uint32_t i = 0; i < job->steps.size(); ++i) {
-            if (job->steps[i].waiting > 0)
-                places.add({ .tasks = job->steps[i].waiting, .runTime = job->expectedRunTime(model_, i) }, now);
-        }
-    }
-    result.startAt = places.nextStart();
-    std::vector<TimePoint> endOf(spec.steps.size());
-    result.endAt = now;
-    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-        TimePoint begin = now;
-        for (const auto earlier : spec.steps[i].after)
-            begin = std::max(begin, endOf[earlier]);
-        endOf[i] = places.add({ .tasks = spec.steps[i].count, .runTime = model_.predict(spec, spec.steps[i]) }, begin);
-        result.endAt = std::max(result.endAt, endOf[i]);
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step)
+            result.displacedWork += job->expectedRunTime(model_, step) * job->steps[step].tasks.size()
+                * job->spec->steps[step].need.milliCores / 1000;
     }
     return result;
 }
 
+void ShardEngine::giveUpHopeless(TimePoint now)
+{
+    const auto order = jobsInOrder(now);
+    const auto firstLate = std::find_if(order.begin(), order.end(), [](const Place& place) { return place.late; });
+    if (firstLate == order.end())
+        return;
+    const auto planned = plan(order, *firstLate->spec, now);
+    for (std::size_t i = 0; i < planned.order.size(); ++i) {
+        const auto& place = planned.order[i];
+        if (place.late && planned.endAt[i] > place.job->uselessAfter())
+            finishJob(*place.job, JobResult::NotRun, now);
+    }
+}
+
 } // namespace Balsammill::Shards
