--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -78,6 +78,7 @@
     TimePoint statusAt {};
     TimePoint drainingSince {};
     bool draining { false };
+    bool exitNextTick { false };
     bool ready { false };
 
     explicit Detail(const NodeSettings& settings)
@@ -407,6 +408,7 @@
         drainingSince = monotonicNow();
         log.event("process.draining", { { "open_requests", std::uint64_t { clientServer.openRequests() } } });
         clientServer.drain();
+        front.stopAt(drainingSince + context.settings.shutdownGrace - exitMargin);
         ownership.leave(drainingSince + context.settings.shutdownGrace - releaseMargin);
         sendStatus(drainingSince, true);
     }
@@ -415,9 +417,15 @@
     {
         const bool idle = clientServer.openRequests() == 0 && ownership.ownsNothing();
         const bool outOfRotation = now - drainingSince >= rotationDelay;
-        const bool outOfTime = now - drainingSince >= context.settings.shutdownGrace - exitMargin;
-        if ((idle && outOfRotation) || outOfTime)
+        const auto stopAt = drainingSince + context.settings.shutdownGrace - exitMargin;
+        if (now >= stopAt) {
+            log.event("process.abandons_requests", { { "requests", std::uint64_t { jobs.openRequests() } } });
+            jobs.abandonAll();
+        }
+        // One more tick lets the last answers leave the process.
+        if (exitNextTick)
             loop.stop();
+        exitNextTick = (idle && outOfRotation) || now >= stopAt;
     }
 };
 
--- a/libs/node/src/JobClient.cpp
+++ b/libs/node/src/JobClient.cpp
@@ -214,6 +214,18 @@
     }
 }
 
+void JobClient::abandonAll()
+{
+    std::vector<RequestNumber> open;
+    for (const auto& [number, request] : requests_)
+        open.push_back(number);
+    for (const auto number : open) {
+        auto callback = std::move(requests_.at(number).callback);
+        cancel(number);
+        callback({ .kind = JobAnswer::Kind::InDoubt, .retryAfter = {} });
+    }
+}
+
 void JobClient::advance(TimePoint now)
 {
     for (const auto& [name, owner] : directory_.owners()) {
--- a/libs/node/src/JobClient.h
+++ b/libs/node/src/JobClient.h
@@ -44,6 +44,8 @@
     void cancel(RequestNumber);
     void handleAnswer(const balsammill::internal::ShardJobAnswer&);
     void handlePeerClosed(const PeerLink&);
+    /// Answers every open request with InDoubt and cancels its job.
+    void abandonAll();
     /// Opens connections to the owners of all shards.
     void advance(TimePoint now);
     /// True if a job could be handed to some owner now.
--- a/libs/node/src/JobFront.cpp
+++ b/libs/node/src/JobFront.cpp
@@ -10,6 +10,13 @@
 // A node without a configuration gets one within this time, once the store answers.
 constexpr Duration retryWithoutConfiguration = std::chrono::seconds(1);
 
+// Other entries of the failure domain take the connections over at once.
+constexpr Duration retryWhileStopping = std::chrono::milliseconds(500);
+// Real run times of nearly all tasks are within this factor of the declared ones.
+constexpr int declaredTimeMargin = 2;
+// Waiting for room and for the answer.
+constexpr Duration answerMargin = std::chrono::milliseconds(400);
+
 double toMs(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 } // namespace
@@ -77,6 +84,17 @@
     }
     const auto arrivedAt = monotonicNow();
     const auto queueLabel = "queue=\"" + queue.name.value + "\"";
+    Duration declared {};
+    for (const auto& step : submission.spec.steps)
+        declared += step.estimate;
+    if (stopAt_ != TimePoint::max() && arrivedAt + declared * declaredTimeMargin + answerMargin > stopAt_) {
+        context_.metrics.count("refused_while_stopping");
+        context_.log.event("job.refused_while_stopping", { { "id", id } });
+        auto response = Platform::jobRefused(retryWhileStopping);
+        response.status = 503;
+        exchange->respond(response);
+        return;
+    }
     if (context_.log.samples(id))
         context_.log.event("job.received", { { "id", id }, { "queue", queue.name.value } });
     const auto patience = Platform::clientPatience(request);
--- a/libs/node/src/JobFront.h
+++ b/libs/node/src/JobFront.h
@@ -17,6 +17,8 @@
 
     /// Null until the first configuration is known.
     void adopt(std::shared_ptr<const QueueTable>);
+    /// The process ends at that time: jobs that would not end before are refused from now on.
+    void stopAt(TimePoint time) { stopAt_ = time; }
     void handle(HttpRequest, const std::shared_ptr<HttpExchange>&);
 
 private:
@@ -25,6 +27,7 @@
     NodeContext& context_;
     JobClient& jobs_;
     std::shared_ptr<const QueueTable> queues_;
+    TimePoint stopAt_ { TimePoint::max() };
 };
 
 } // namespace Balsammill
--- a/libs/node/src/UpstreamSession.cpp
+++ b/libs/node/src/UpstreamSession.cpp
@@ -22,6 +22,8 @@
 constexpr Duration expiryMargin = std::chrono::milliseconds(80);
 // Ends of an upstream that has become idle are acknowledged after this time, unless a start does it sooner.
 constexpr Duration idleAcknowledgeDelay = std::chrono::milliseconds(250);
+// On top of the time that a stop takes, before its effect is looked at.
+constexpr Duration stopMargin = std::chrono::milliseconds(10);
 constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration longestRetryDelay = std::chrono::milliseconds(400);
 constexpr std::size_t reportConnections = 1;
@@ -181,34 +183,51 @@
                 self->retrySettle(start, attempt);
             return;
         }
-        // The run cannot begin any more, but it may have begun just before the stop: the next report tells.
-        const auto confirm = Platform::encodeReportRequest(
-            self->id_, std::nullopt, self->fence_, self->engine_.lastEndHandled(self->id_), Duration::zero());
-        self->orders_->send(confirm, answered + answerTimeout, [self, start, attempt, answered](const HttpResult& last) {
-            if (self->closed_)
-                return;
-            const auto at = monotonicNow();
-            if (!self->noteAnswer(last, at) || last.response->status != 200) {
-                if (!self->closed_)
-                    self->retrySettle(start, attempt);
-                return;
-            }
-            try {
-                const auto report = Platform::parseReport(*last.response);
-                const bool listed = std::any_of(report.running.begin(), report.running.end(),
-                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
-                self->engine_.handleReport(self->id_, report, answered, at);
-                if (listed)
-                    self->retrySettle(start, attempt);
-                else
-                    self->engine_.handleNeverStarted(self->id_, start.task, start.run, at);
-                self->handlers_.progressed();
-            } catch (const Platform::FormatError& error) {
-                self->context_.log.event(
-                    "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
+        // The run cannot begin any more, but it may have begun just before the stop. Its end is listed once the stop
+        // has taken effect, so the report that decides is asked for after that.
+        self->after(self->context_.settings.stopGrace + stopMargin, [self, start, attempt] { self->settleByReport(start, attempt); });
+    });
+}
+
+void UpstreamSession::settleByReport(const Shards::StartTask& start, int attempt)
+{
+    const auto sentAt = monotonicNow();
+    const auto request
+        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndHandled(id_), Duration::zero());
+    orders_->send(request, sentAt + answerTimeout, [self = shared_from_this(), start, attempt, sentAt](const HttpResult& result) {
+        if (self->closed_)
+            return;
+        const auto now = monotonicNow();
+        if (!self->noteAnswer(result, now) || result.response->status != 200) {
+            if (!self->closed_)
                 self->retrySettle(start, attempt);
-            }
-        });
+            return;
+        }
+        try {
+            const auto report = Platform::parseReport(*result.response);
+            const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                [&](const auto& each) { return each.task == start.task && each.run == start.run; });
+            self->engine_.handleReport(self->id_, report, sentAt, now);
+            if (listed)
+                self->retrySettle(start, attempt);
+            else
+                self->engine_.handleNeverStarted(self->id_, start.task, start.run, now);
+            self->handlers_.progressed();
+        } catch (const Platform::FormatError& error) {
+            self->context_.log.event(
+                "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
+            self->retrySettle(start, attempt);
+        }
+    });
+}
+
+void UpstreamSession::after(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop);
+    timer->expires_after(delay);
+    timer->async_wait([self = shared_from_this(), timer, action = std::move(action)](const boost::system::error_code& error) {
+        if (!error && !self->closed_)
+            action();
     });
 }
 
@@ -217,12 +236,8 @@
     // Once the lease has expired the engine has dropped the run, and there is nothing left to settle.
     if (leaseOver(monotonicNow()))
         return;
-    auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop);
-    timer->expires_after(std::min(firstRetryDelay * (1 << std::min(attempt, 3)), longestRetryDelay));
-    timer->async_wait([self = shared_from_this(), timer, start, attempt](const boost::system::error_code& error) {
-        if (!error && !self->closed_)
-            self->settle(start, attempt + 1);
-    });
+    after(std::min(firstRetryDelay * (1 << std::min(attempt, 3)), longestRetryDelay),
+        [self = shared_from_this(), start, attempt] { self->settle(start, attempt + 1); });
 }
 
 void UpstreamSession::stop(const Shards::StopTask& stop)
--- a/libs/node/src/UpstreamSession.h
+++ b/libs/node/src/UpstreamSession.h
@@ -40,6 +40,8 @@
     void handleReport(const HttpResult&, TimePoint sentAt, bool wait);
     void settle(const Shards::StartTask&, int attempt);
     void settleByStop(const Shards::StartTask&, int attempt);
+    void settleByReport(const Shards::StartTask&, int attempt);
+    void after(Duration delay, std::function<void()> action);
     void retrySettle(const Shards::StartTask&, int attempt);
     bool noteAnswer(const HttpResult&, TimePoint now);
     void noteFailure(TimePoint now, const std::string& reason);
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -27,11 +27,16 @@
         upstream.room = info.capacity;
         return;
     }
-    if (info.bornMs != 0 && upstream.info.bornMs != 0 && info.bornMs != upstream.info.bornMs)
+    const auto knownBorn = upstream.info.bornMs;
+    // A registration is up to a heartbeat old, so it may still be that of an earlier incarnation.
+    if (info.bornMs != 0 && knownBorn != 0 && info.bornMs < knownBorn)
+        return;
+    if (info.bornMs > knownBorn && knownBorn != 0)
         handleLeaseExpired(info.id, now);
     Resources used = upstream.info.capacity;
     used -= upstream.room;
     upstream.info = info;
+    upstream.info.bornMs = std::max(info.bornMs, knownBorn);
     upstream.room = info.capacity;
     upstream.room -= used;
     upstream.registered = true;
@@ -62,7 +67,9 @@
     if (found == upstreams_.end())
         return;
     auto& upstream = found->second;
-    if (report.bornMs != 0 && upstream.info.bornMs != 0 && report.bornMs != upstream.info.bornMs)
+    if (report.bornMs != 0 && report.bornMs < upstream.info.bornMs)
+        return;
+    if (upstream.info.bornMs != 0 && report.bornMs > upstream.info.bornMs)
         handleLeaseExpired(id, now);
     if (report.bornMs != 0)
         upstream.info.bornMs = report.bornMs;
@@ -100,11 +107,10 @@
         const bool listed = std::any_of(report.running.begin(), report.running.end(),
             [&key = key, &run = run](const RunningTask& each) { return each.task == key && each.run == run.number; });
         const bool wasThere = run.state == RunState::Running && run.confirmedAt <= sentAt;
-        const bool wasOrphan = run.state == RunState::Stopping && run.confirmedAt == TimePoint {}
-            && run.orderedAt == TimePoint {} && run.stopSentAt <= sentAt;
-        const bool wasStopped
-            = run.state == RunState::Stopping && run.confirmedAt != TimePoint {} && run.confirmedAt <= sentAt;
-        if (!listed && (wasThere || wasOrphan || wasStopped))
+        // While a run is being stopped it may be in neither list, and it still uses its room.
+        const bool known = run.confirmedAt != TimePoint {} || run.orderedAt == TimePoint {};
+        const bool wasStopped = run.state == RunState::Stopping && known && run.stopSentAt + stopPatience <= sentAt;
+        if (!listed && (wasThere || wasStopped))
             vanished.push_back(key);
     }
     for (const auto& key : vanished) {
