Learn run times of the whole fleet, and count tasks that were stopped

Cause: a task that took too long was stopped and never counted, and it raised the rating of its upstream, by which later samples were divided.

Change: averages are over the fleet and uncorrected; a stopped task counts with the time it ran; each stop doubles the task's limit; one overdue task alone does not make an upstream suspect.

--- a/libs/shards/include/balsammill/shards/RunTimeModel.h
+++ b/libs/shards/include/balsammill/shards/RunTimeModel.h
@@ -16,8 +16,9 @@
     void record(const JobSpec&, const StepSpec&, const UpstreamId&, Duration actual);
     /// Factor by which tasks take longer on this upstream than predicted; 1 if unknown.
     double slowness(const UpstreamId&) const;
-    /// Raises the factor to at least this value, when a task has already run that much longer than predicted.
-    void noteOverdue(const UpstreamId&, double factor);
+    /// Records that a task was stopped after this time. Without it the averages would know short tasks only, and the
+    /// predictions would shrink until every long task were stopped.
+    void recordStopped(const JobSpec&, const StepSpec&, Duration atLeast);
     void forget(const UpstreamId&);
 
 private:
@@ -26,6 +27,8 @@
         double logMean { 0 };
         std::uint32_t samples { 0 };
     };
+    void learn(const JobSpec&, const StepSpec&, Duration actual);
+
     std::unordered_map<QueueName, QueueRecord> queues_;
     std::unordered_map<UpstreamId, double> logSlowness_;
 };
--- a/libs/shards/src/RunTimeModel.cpp
+++ b/libs/shards/src/RunTimeModel.cpp
@@ -39,16 +39,24 @@
 
 void RunTimeModel::record(const JobSpec& job, const StepSpec& step, const UpstreamId& upstream, Duration actual)
 {
-    const double expected = logMicros(predict(job, step));
-    const double onAverageUpstream = logMicros(actual) - std::log(slowness(upstream));
     auto& rating = logSlowness_[upstream];
-    rating += upstreamWeight * (logMicros(actual) - expected - rating);
+    rating += upstreamWeight * (logMicros(actual) - logMicros(predict(job, step)) - rating);
+    learn(job, step, actual);
+}
 
+void RunTimeModel::recordStopped(const JobSpec& job, const StepSpec& step, Duration atLeast)
+{
+    learn(job, step, std::max(atLeast, predict(job, step)));
+}
+
+// The averages are over the whole fleet and not corrected by the ratings, so that the two cannot drift apart.
+void RunTimeModel::learn(const JobSpec& job, const StepSpec& step, Duration actual)
+{
     auto& queue = queues_[job.queue];
     ++queue.samples;
     const double weight = std::max(queueWeight, 1.0 / queue.samples);
-    queue.logRatio += weight * (onAverageUpstream - logMicros(estimateOf(step)) - queue.logRatio);
-    queue.logMean += weight * (onAverageUpstream - queue.logMean);
+    queue.logRatio += weight * (logMicros(actual) - logMicros(estimateOf(step)) - queue.logRatio);
+    queue.logMean += weight * (logMicros(actual) - queue.logMean);
 }
 
 double RunTimeModel::slowness(const UpstreamId& upstream) const
@@ -57,12 +65,6 @@
     return found == logSlowness_.end() ? 1.0 : std::exp(found->second);
 }
 
-void RunTimeModel::noteOverdue(const UpstreamId& upstream, double factor)
-{
-    auto& rating = logSlowness_[upstream];
-    rating = std::max(rating, std::log(factor));
-}
-
 void RunTimeModel::forget(const UpstreamId& upstream) { logSlowness_.erase(upstream); }
 
 } // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -237,7 +237,7 @@
 {
     auto& task = job.steps[stepIndex].tasks[index];
     // Tasks that fail wherever they run say nothing about the upstream, so only a task's first failure counts.
-    if (task.failures == 0 && ++upstream.consecutiveFailures >= 2)
+    if (task.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
         suspect(upstream, now);
     ++task.failures;
     task.avoid = upstream.info.id;
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -6,6 +6,9 @@
 
 namespace Balsammill::Shards {
 
+// Tasks of sound upstreams rarely fail, and two in a row almost never.
+inline constexpr std::uint32_t failuresBeforeSuspicion = 2;
+
 enum class RunState {
     /// The start was sent and not answered.
     Ordered,
@@ -50,6 +53,8 @@
     };
     State state { State::Waiting };
     std::uint32_t failures { 0 };
+    // Runs that were stopped because they took too long.
+    std::uint32_t overdueStops { 0 };
     RunNumber run;
     UpstreamId upstream;
     UpstreamId avoid;
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -1,6 +1,7 @@
 #include "ShardEngineDetail.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Balsammill::Shards {
 
@@ -164,14 +165,19 @@
         if (job == nullptr || job->spec->steps[key.step].gang)
             continue;
         const auto expected = job->expectedRunTime(model_, key.step);
-        const double factor
-            = job->steps[key.step].observations > 0 ? overdueFactorBySiblings : overdueFactorByModel;
+        auto& task = job->steps[key.step].tasks[key.index];
+        // Each stop doubles the limit, so that a task that really is long gets its time.
+        const double factor = std::ldexp(
+            job->steps[key.step].observations > 0 ? overdueFactorBySiblings : overdueFactorByModel,
+            static_cast<int>(task.overdueStops));
         const auto limit = Duration(static_cast<Duration::rep>(factor * static_cast<double>(expected.count()))) + overdueMargin;
         if (now - run.orderedAt <= limit)
             continue;
-        model_.noteOverdue(upstream.info.id, factor);
-        suspect(upstream, now);
-        job->steps[key.step].tasks[key.index].avoid = upstream.info.id;
+        model_.recordStopped(*job->spec, job->spec->steps[key.step], now - run.orderedAt);
+        if (++upstream.consecutiveFailures >= failuresBeforeSuspicion)
+            suspect(upstream, now);
+        ++task.overdueStops;
+        task.avoid = upstream.info.id;
         const auto keep = run.job;
         stopRun(upstream, run, now);
         // The task is still wanted and starts again once this run has ended.
