--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -22,7 +22,8 @@
     /// No upstream of the shard could ever run one of its tasks.
     bool impossible { false };
 
-    /// Waiting work of accepted jobs that would miss their objective only because of this job, in core time.
+    /// Work of accepted jobs that would miss their objective only because of this job, in core time. Work that is less
+    /// urgent than this job counts for less.
     Duration displacedWork {};
     /// Work of this job, in core time.
     Duration ownWork {};
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -60,7 +60,7 @@
     }
     const auto recent = recentJobs_.find(spec->id);
     if (recent != recentJobs_.end())
-        job->highestRun = recent->second.highestRun;
+        job->runFloor = job->highestRun = recent->second.highestRun;
     submissions_[submission] = spec->id;
     const auto id = spec->id;
     job->spec = std::move(spec);
@@ -136,7 +136,7 @@
         suspect(upstream, now);
     if (refusal == StartRefusal::OldRun) {
         if (auto* job = findJob(key.job))
-            job->highestRun.value = std::max(job->highestRun.value, number.value + runNumberJump);
+            job->runFloor.value = std::max(job->runFloor.value, number.value + runNumberJump);
     }
     handleNeverStarted(id, key, number, now);
 }
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -81,6 +81,8 @@
     TimePoint firstStartAt {};
     TimePoint lastStartAt {};
     RunNumber highestRun;
+    // An upstream may refuse run numbers up to this one.
+    RunNumber runFloor {};
     bool started { false };
 
     // Expected run time of a task, by its completed siblings if there are any.
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -16,6 +16,9 @@
 // Added when the last run of the task failed there.
 constexpr double failedBeforeCost = 10.0;
 
+// Work of a less urgent job counts this much less against a job that would make it late.
+constexpr int lessUrgentDivisor = 3;
+
 std::int64_t placesOf(const Resources& room, const Resources& need)
 {
     auto places = std::numeric_limits<std::int64_t>::max();
@@ -147,7 +150,7 @@
         auto* upstream = choose(job, stepIndex, task, blocked.reserved, now);
         if (upstream == nullptr)
             return false;
-        const RunNumber number { std::max(task.run.value, job.started ? task.run.value : job.highestRun.value) + 1 };
+        const RunNumber number { std::max(task.run.value, job.runFloor.value) + 1 };
         startTask(job, stepIndex, index, *upstream, number, now);
     }
     return true;
@@ -176,7 +179,7 @@
         upstream->room += spec.need;
     if (members.size() < step.tasks.size())
         return false;
-    const RunNumber number { job.highestRun.value + 1 };
+    const RunNumber number { std::max(job.highestRun.value, job.runFloor.value) + 1 };
     for (std::uint32_t index = 0; index < members.size(); ++index)
         startTask(job, stepIndex, index, *members[index], number, now);
     return true;
@@ -358,9 +361,12 @@
         const auto* job = before[i].job;
         if (unchanged.endAt[i] > job->objectiveAt || planned.endAt[i + 1] <= job->objectiveAt)
             continue;
+        Duration work {};
         for (std::uint32_t step = 0; step < job->steps.size(); ++step)
-            result.displacedWork += job->expectedRunTime(model_, step) * job->steps[step].tasks.size()
+            work += job->expectedRunTime(model_, step) * job->steps[step].tasks.size()
                 * job->spec->steps[step].need.milliCores / 1000;
+        const bool lessUrgent = job->spec->priority > spec.priority;
+        result.displacedWork += lessUrgent ? work / lessUrgentDivisor : work;
     }
     return result;
 }
--- /dev/null
+++ b/libs/shards/tests/AdmissionTests.cpp
@@ -0,0 +1,54 @@
+#include "EngineFixture.h"
+
+#include "balsammill/shards/Admission.h"
+
+#include <doctest/doctest.h>
+
+using namespace Balsammill;
+using namespace Balsammill::Shards;
+using namespace Balsammill::Shards::Testing;
+
+namespace {
+
+JobForecast lateForecast()
+{
+    return { .startAt = at(0), .endAt = at(900), .objectiveAt = at(220), .impossible = false, .displacedWork = {}, .ownWork = {} };
+}
+
+} // namespace
+
+// Guards against refusals while other shards have room for the whole job.
+TEST_CASE("A job that would be late goes to the shard with the most room, if it fits there with a margin")
+{
+    const auto spec = makeSpec({ .tasks = 4, .milliCores = 10'000 });
+    const AdmissionQuestion question { .job = spec,
+        .forecast = lateForecast(),
+        .others = { { .name = ShardName("a/0"), .freeMilliCores = 70'000, .waitingJobs = 0 },
+            { .name = ShardName("b/0"), .freeMilliCores = 90'000, .waitingJobs = 0 },
+            { .name = ShardName("c/0"), .freeMilliCores = 200'000, .waitingJobs = 3 },
+            { .name = ShardName("d/0"), .freeMilliCores = 50'000, .waitingJobs = 0 } },
+        .now = at(0) };
+    const auto decision = decideAdmission(question);
+    REQUIRE(std::holds_alternative<SendToShard>(decision));
+    CHECK_EQ(std::get<SendToShard>(decision).shard.value, "b/0");
+}
+
+// Guards against clients that come back too early: the time is when a job like this one would be in time.
+TEST_CASE("A job that fits nowhere in time is refused with the time by which it is late")
+{
+    const auto spec = makeSpec({ .tasks = 4 });
+    const auto decision
+        = decideAdmission({ .job = spec, .forecast = lateForecast(), .others = {}, .now = at(0) });
+    REQUIRE(std::holds_alternative<RefuseJob>(decision));
+    CHECK_EQ(std::get<RefuseJob>(decision).retryAfter, Duration(milliseconds(680)));
+}
+
+// Guards against jobs that are queued although no upstream could ever run them.
+TEST_CASE("A job that no upstream can hold is impossible")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 16'000));
+    const auto forecast = fixture.engine.forecast(makeSpec({ .milliCores = 20'000 }), at(0), at(0));
+    CHECK(forecast.impossible);
+    CHECK_FALSE(forecast.meetsObjective());
+}
