Take no task on an upstream while runs of an earlier owner are there

Change: an upstream with foreign runs is not usable until the last has ended. A shard that has just been gained accepts jobs while its upstreams report, instead of refusing them with a delay of seconds.

--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Reading the registrations, the first reports, and stopping what an earlier owner has left.
+constexpr Duration settlingTime = std::chrono::milliseconds(250);
+
 double toMs(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 const char* nameOf(Shards::JobResult result)
@@ -47,6 +50,7 @@
     : context_(context)
     , name_(std::move(name))
     , epoch_(epoch)
+    , startedAt_(monotonicNow())
     , handlers_(std::move(handlers))
     , predecessor_(std::move(predecessor))
     , alive_(std::make_shared<bool>(true))
@@ -170,10 +174,13 @@
         return;
     }
     const auto forecast = engine_.forecast(spec, now - age, now);
-    const auto decision = Shards::decideAdmission({ .job = spec,
-        .forecast = forecast,
-        .others = mayRedirect ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
-        .now = now });
+    // Until the upstreams have reported there is nothing to forecast by; they do within a few round trips.
+    const bool settling = now - startedAt_ < settlingTime;
+    const auto decision = settling ? Shards::AdmissionDecision(Shards::AcceptJob {})
+                                   : Shards::decideAdmission({ .job = spec,
+                                         .forecast = forecast,
+                                         .others = mayRedirect ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
+                                         .now = now });
     const bool sampled = context_.log.samples(spec.id.value);
     const auto queueLabel = "queue=\"" + spec.queue.value + "\"";
     if (const auto* redirect = std::get_if<Shards::SendToShard>(&decision)) {
--- a/libs/node/src/ShardServer.h
+++ b/libs/node/src/ShardServer.h
@@ -107,6 +107,7 @@
     NodeContext& context_;
     Shards::ShardName name_;
     Epoch epoch_;
+    TimePoint startedAt_;
     Handlers handlers_;
     Shards::ShardEngine engine_;
     std::map<Shards::UpstreamId, std::shared_ptr<UpstreamSession>> sessions_;
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -106,6 +106,8 @@
     if (found == upstream.runs.end())
         return;
     upstream.room += found->second.need;
+    if (found->second.foreign)
+        --upstream.foreignRuns;
     upstream.runs.erase(found);
     const auto live = liveRuns_.find(key);
     if (live != liveRuns_.end() && --live->second == 0)
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -21,6 +21,8 @@
     // Empty if no job waits for it.
     JobId job {};
     Resources need {};
+    // Started by an earlier owner: how much room it uses is not known.
+    bool foreign { false };
     RunState state { RunState::Ordered };
     TimePoint orderedAt {};
     // Once the upstream has confirmed the start.
@@ -33,6 +35,8 @@
     UpstreamInfo info;
     Resources room;
     std::map<TaskKey, Run> runs;
+    // Runs of earlier owners; the room is not known while there is one.
+    std::uint32_t foreignRuns { 0 };
     std::uint64_t lastEndHandled { 0 };
     bool registered { true };
     bool reachable { true };
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -95,11 +95,9 @@
         actions_.emplace_back(StopTask { .upstream = id, .task = running.task, .run = running.run });
         if (run == upstream.runs.end()) {
             ++liveRuns_[running.task];
-            // Its size is not known; the upstream takes nothing else until it has ended.
-            Run unknown { .number = running.run, .need = upstream.room, .state = RunState::Stopping };
-            unknown.stopSentAt = now;
-            upstream.room -= unknown.need;
-            upstream.runs.emplace(running.task, unknown);
+            ++upstream.foreignRuns;
+            upstream.runs.emplace(running.task,
+                Run { .number = running.run, .foreign = true, .state = RunState::Stopping, .stopSentAt = now });
         }
     }
     // A run that was confirmed before the report was requested and is in neither list has ended without a trace.
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -49,7 +49,8 @@
 
 bool ShardEngine::usable(const Upstream& upstream, TimePoint now) const
 {
-    return upstream.registered && upstream.confirmed && upstream.reachable && !upstream.info.draining
+    return upstream.registered && upstream.confirmed && upstream.foreignRuns == 0 && upstream.reachable
+        && !upstream.info.draining
         && now >= upstream.suspectedUntil;
 }
 
--- a/libs/shards/tests/ShardEngineTests.cpp
+++ b/libs/shards/tests/ShardEngineTests.cpp
@@ -129,6 +129,32 @@
     CHECK_EQ(fixture.scheduled<StartTask>(51).size(), 1);
 }
 
+// Guards against an upstream over its capacity: the sizes of another owner's runs are not known, so the end of one of
+// them says nothing about the room.
+TEST_CASE("An upstream with several runs of an earlier owner takes nothing until the last has ended")
+{
+    EngineFixture fixture;
+    fixture.engine.updateUpstream(makeUpstream("u1"), at(0));
+    UpstreamReport report { .bornMs = 1000, .running = {}, .ended = {} };
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        const TaskKey orphan { .job = JobId("00000000000000ff"), .occurrence = 0, .step = 0, .index = index };
+        report.running.push_back({ .task = orphan, .run = RunNumber(1), .checkpoint = {} });
+    }
+    fixture.engine.handleReport(UpstreamId("u1"), report, at(0), at(1));
+    CHECK_EQ(fixture.taken<StopTask>().size(), 2);
+    fixture.submit({}, 2);
+    for (std::uint64_t i = 0; i < 2; ++i) {
+        CHECK(fixture.scheduled<StartTask>(10).empty());
+        UpstreamReport next { .bornMs = 1000, .running = {}, .ended = {} };
+        const auto& task = report.running[i].task;
+        next.ended.push_back({ .sequence = i + 1, .task = task, .run = RunNumber(1), .how = RunEnd::Stopped, .checkpoint = {} });
+        if (i == 0)
+            next.running.push_back(report.running[1]);
+        fixture.engine.handleReport(UpstreamId("u1"), next, at(20), at(21));
+    }
+    CHECK_EQ(fixture.scheduled<StartTask>(30).size(), 1);
+}
+
 // Rows of the table of starts whose outcome is in doubt; each names what is known and what may happen then.
 TEST_CASE("A start whose outcome is in doubt is settled before its task runs again")
 {
