Run real entries on stand-ins of the operators' platform under faults

Change: stand-ins of the store and of upstreams by the published protocol, in the test's process; eight tests of real entries: the whole path with bad input, an owner killed three times, all killed, paused, the store down and its history gone, lost answers, lost and late starts, a planned stop. Logs of integration tests go to the build tree; integration-logs/ is removed.

--- a/apps/balsammill/NodeCommand.cpp
+++ b/apps/balsammill/NodeCommand.cpp
@@ -17,9 +17,16 @@
     command->add_option("--settings", *path, "path of the platform's settings file (TOML)")
         ->envname(Platform::settingsPathVariable)
         ->required();
-    command->callback([path, &action] {
-        action = [path] {
-            EntryNode node(Platform::readSettingsFile(*path));
+    auto options = std::make_shared<NodeOptions>();
+    command->add_option("--log-sample", options->logSampleOneIn, "of how many requests one is logged in full")
+        ->envname("BALSAMMILL_LOG_SAMPLE")
+        ->check(CLI::Range(1U, 1'000'000U));
+    command->add_option("--log-lines", options->logLinesPerSecond, "log lines a second for each kind of event")
+        ->envname("BALSAMMILL_LOG_LINES")
+        ->check(CLI::Range(1U, 1'000'000U));
+    command->callback([path, options, &action] {
+        action = [path, options] {
+            EntryNode node(Platform::readSettingsFile(*path), *options);
             return node.run();
         };
     });
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -81,8 +81,10 @@
     bool exitNextTick { false };
     bool ready { false };
 
-    explicit Detail(const NodeSettings& settings)
-        : log({ .vm = settings.vm.value })
+    Detail(const NodeSettings& settings, const NodeOptions& options)
+        : log({ .vm = settings.vm.value,
+            .linesPerSecond = options.logLinesPerSecond,
+            .sampleOneIn = options.logSampleOneIn })
         , context { .loop = loop, .settings = settings, .incarnation = newIncarnation(), .log = log, .metrics = metrics }
         , store(loop, settings.storeAddress)
         , peers(loop,
@@ -429,8 +431,8 @@
     }
 };
 
-EntryNode::EntryNode(const NodeSettings& settings)
-    : detail_(std::make_unique<Detail>(settings))
+EntryNode::EntryNode(const NodeSettings& settings, const NodeOptions& options)
+    : detail_(std::make_unique<Detail>(settings, options))
 {
 }
 
--- /dev/null
+++ b/standin/operators/LoopThread.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <future>
+#include <thread>
+
+namespace Standin {
+
+/// An event loop on a thread of its own. All stand-ins of a test share it, so that they need no locks.
+class LoopThread {
+public:
+    LoopThread()
+        : work_(boost::asio::make_work_guard(loop_))
+        , thread_([this] { loop_.run(); })
+    {
+    }
+    ~LoopThread()
+    {
+        work_.reset();
+        loop_.stop();
+        thread_.join();
+    }
+    LoopThread(const LoopThread&) = delete;
+    LoopThread& operator=(const LoopThread&) = delete;
+
+    boost::asio::io_context& context() { return loop_; }
+
+    /// Runs the function on the loop and returns what it returns.
+    template <typename Function> auto run(Function function)
+    {
+        std::packaged_task<decltype(function())()> task(std::move(function));
+        auto result = task.get_future();
+        boost::asio::post(loop_, [&task] { task(); });
+        return result.get();
+    }
+
+private:
+    boost::asio::io_context loop_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+};
+
+} // namespace Standin
--- a/tests/integration/support/Process.cpp
+++ b/tests/integration/support/Process.cpp
@@ -27,8 +27,9 @@
 
 std::string logPath(const std::string& name)
 {
-    std::filesystem::create_directories("integration-logs");
-    return "integration-logs/" + name + ".log";
+    const std::filesystem::path directory = INTEGRATION_LOG_DIR;
+    std::filesystem::create_directories(directory);
+    return directory / (name + ".log");
 }
 
 std::vector<char*> pointersTo(std::vector<std::string>& texts)
@@ -81,7 +82,8 @@
 {
     spawn();
     try {
-        readReadyLine();
+        if (!options_.outputToLog)
+            readReadyLine();
     } catch (...) {
         kill();
         throw;
@@ -109,7 +111,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, input[0], STDIN_FILENO);
-    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, options_.outputToLog ? log : output[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, log, STDERR_FILENO);
     auto argumentPointers = pointersTo(arguments);
     auto environmentPointers = pointersTo(environment);
@@ -186,6 +188,8 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
+std::string Process::logFile() const { return logPath(options_.name); }
+
 std::string Process::logTail() const
 {
     std::ifstream file(logPath(options_.name));
--- a/tests/integration/support/Process.h
+++ b/tests/integration/support/Process.h
@@ -19,9 +19,11 @@
     std::string program;
     std::vector<std::string> arguments;
     std::map<std::string, std::string> environment {};
+    /// Standard output goes to the log too, and no ready line is waited for.
+    bool outputToLog { false };
 };
 
-/// A child process of the test. Its standard error goes to integration-logs/<name>.log; it is killed with the object.
+/// A child process of the test. Its standard error goes to integration-logs/<name>.log in the build tree; it is killed with the object.
 class Process {
 public:
     /// Starts the program and waits for its ready line on standard output; throws with the log's end if there is none.
@@ -43,6 +45,7 @@
     /// Exit status, or 128 + signal; empty if it still runs at the deadline.
     std::optional<int> waitForExit(TimePoint deadline);
     std::string logTail() const;
+    std::string logFile() const;
 
 private:
     void spawn();
--- /dev/null
+++ b/tests/platform/Fleet.cpp
@@ -0,0 +1,231 @@
+#include "Fleet.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+namespace PlatformTest {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto host = "fleet.example";
+// As long as the operators' clients wait before they send a job again.
+constexpr auto resendDelay = 1300ms;
+
+bool canBind(int port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool bound = ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(descriptor);
+    return bound;
+}
+
+// Two neighbouring ports below the range that the system hands out, for entries' peers and metrics.
+int findPortPair(int& next)
+{
+    while (!canBind(next) || !canBind(next + 1))
+        next += 2;
+    const int found = next;
+    next += 2;
+    return found;
+}
+
+} // namespace
+
+Fleet::Fleet(const Options& options)
+    : options_(options)
+{
+    store_ = std::make_unique<Standin::OperatorStore>(loop_);
+    configure(1);
+    int nextPort = 20'000 + static_cast<int>(::getpid() % 5'000);
+    for (const auto& domain : options.domains) {
+        for (int i = 0; i < options.upstreamsPerDomain; ++i) {
+            upstreams_.push_back(std::make_unique<Standin::OperatorUpstream>(loop_, registry_,
+                Standin::OperatorUpstream::Options {
+                    .id = "i-" + domain + std::to_string(i), .domain = domain, .milliCores = 32'000, .runMs = options.runMs }));
+            store_->put("servers", upstreams_.back()->id(), upstreams_.back()->registration());
+        }
+        for (int i = 0; i < options.entriesPerDomain; ++i) {
+            auto& ports = ports_.emplace_back();
+            ports.firstPeer = findPortPair(nextPort);
+            const auto file = std::string(INTEGRATION_LOG_DIR) + "/" + options.name + "-" + domain + std::to_string(i) + ".toml";
+            std::filesystem::create_directories(INTEGRATION_LOG_DIR);
+            std::ofstream text(file);
+            text << "node_name = \"" << domain << i << "\"\nzone = \"" << domain << "\"\nip = \"127.0.0.1\"\n"
+                 << "internal_port_range = [" << ports.firstPeer << ", " << ports.firstPeer + 1 << "]\n"
+                 << "[listen]\nfront = \"127.0.0.1:" << ports.client.number() << "\"\nready = \"127.0.0.1:"
+                 << ports.readiness.number() << "\"\n[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
+                 << "[platform]\naddress = \"" << store_->address() << "\"\n";
+            settings_.push_back(file);
+        }
+    }
+    for (std::size_t i = 0; i < settings_.size(); ++i) {
+        std::filesystem::remove(std::string(INTEGRATION_LOG_DIR) + "/" + options_.name + "-" + std::to_string(i) + ".log");
+        entries_.push_back(start(i));
+    }
+}
+
+Fleet::~Fleet() { entries_.clear(); }
+
+std::unique_ptr<IntegrationTest::Process> Fleet::start(std::size_t index) const
+{
+    return std::make_unique<IntegrationTest::Process>(IntegrationTest::ProcessOptions { .name = options_.name + "-" + std::to_string(index),
+        .program = BALSAMMILL_BINARY,
+        .arguments = { "node", "--settings", settings_[index], "--log-sample", "1" },
+        .environment = {},
+        .outputToLog = true });
+}
+
+void Fleet::restart(std::size_t entry)
+{
+    entries_[entry]->kill();
+    entries_[entry] = start(entry);
+}
+
+void Fleet::configure(int version, const std::string& prefix)
+{
+    store_->put("op", "config",
+        R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"checks","host":")" + host + R"(","path_prefix":")" + prefix
+            + R"(","timeout_ms":5000,"target_duration_ms":2000,"priority":0,"service":"tanim","max_attempts":3,"stretch":4.0}],"services":[],"limits":{}})");
+}
+
+ClientAnswer Fleet::request(
+    std::size_t entry, const std::string& method, const std::string& path, const std::string& body) const
+{
+    ClientAnswer answer;
+    try {
+        Poco::Net::HTTPClientSession session("127.0.0.1", ports_[entry].client.number());
+        session.setTimeout(Poco::Timespan(20, 0));
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPRequest::HTTP_1_1);
+        request.setHost(host);
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), answer.body);
+        answer.status = response.getStatus();
+        answer.retryAfter = response.get("Retry-After", "");
+    } catch (const Poco::Exception& error) {
+        answer.body = error.displayText();
+    }
+    return answer;
+}
+
+ClientAnswer Fleet::submit(std::size_t entry, const std::string& id, int tasks, int milliCores) const
+{
+    const auto cores = std::to_string(milliCores);
+    return request(entry, "POST", "/check/" + id,
+        R"({"task_spec":")" + cores + R"(","best_effort":true,"steps":[{"count":)" + std::to_string(tasks) + R"(,"cpu":)" + cores
+            + R"(,"memory_limit_mb":64,"estimated_ms":)" + std::to_string(options_.runMs) + "}]}");
+}
+
+ClientAnswer Fleet::submitUntilAnswered(std::size_t entry, const std::string& id, int tasks, int milliCores) const
+{
+    ClientAnswer answer;
+    constexpr int attempts = 12;
+    for (int i = 0; i < attempts; ++i) {
+        answer = submit((entry + static_cast<std::size_t>(i)) % entries_.size(), id, tasks, milliCores);
+        if (answer.status != 0 && answer.status != 502 && answer.status != 503 && answer.status != 429)
+            break;
+        std::this_thread::sleep_for(resendDelay);
+    }
+    return answer;
+}
+
+bool Fleet::isReady(std::size_t entry) const
+{
+    try {
+        Poco::Net::HTTPClientSession session("127.0.0.1", ports_[entry].readiness.number());
+        session.setTimeout(Poco::Timespan(1, 0));
+        Poco::Net::HTTPRequest request("GET", "/balsammill/readiness", Poco::Net::HTTPRequest::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        session.receiveResponse(response);
+        return response.getStatus() == 200;
+    } catch (const Poco::Exception&) {
+        return false; // Not listening yet, or gone.
+    }
+}
+
+bool Fleet::waitUntilReady()
+{
+    return IntegrationTest::waitUntil(IntegrationTest::in(30s), [this] {
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (!isReady(i))
+                return false;
+        }
+        return true;
+    });
+}
+
+std::string Fleet::metrics(std::size_t entry) const
+{
+    Poco::Net::HTTPClientSession session("127.0.0.1", static_cast<std::uint16_t>(ports_[entry].firstPeer + 1));
+    session.setTimeout(Poco::Timespan(5, 0));
+    Poco::Net::HTTPRequest request("GET", "/metrics", Poco::Net::HTTPRequest::HTTP_1_1);
+    session.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    std::string text;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+    return text;
+}
+
+std::size_t Fleet::ownerOf(const std::string& domain)
+{
+    const auto record = store_->valueOf("shards", domain + "/0");
+    // The owner's name stands before that of the entry which handed the shard over.
+    std::size_t index = 0;
+    std::size_t owner = entries_.size();
+    std::size_t first = std::string::npos;
+    for (const auto& each : options_.domains) {
+        for (int i = 0; i < options_.entriesPerDomain; ++i, ++index) {
+            const auto at = record.find(each + std::to_string(i));
+            if (at < first) {
+                first = at;
+                owner = index;
+            }
+        }
+    }
+    return owner;
+}
+
+std::string Fleet::violations()
+{
+    return loop_.run([this] {
+        std::string text;
+        for (const auto& violation : registry_.violations)
+            text += violation + "\n";
+        return text;
+    });
+}
+
+int Fleet::starts()
+{
+    return loop_.run([this] { return registry_.starts; });
+}
+
+std::vector<std::string> Fleet::logFiles() const
+{
+    std::vector<std::string> files;
+    for (const auto& entry : entries_)
+        files.push_back(entry->logFile());
+    return files;
+}
+
+} // namespace PlatformTest
