--- a/apps/balsammill/TimelineCommand.cpp
+++ b/apps/balsammill/TimelineCommand.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include "balsammill/observe/RequestStory.h"
 #include "balsammill/observe/TimelineMerge.h"
 #include "balsammill/rpc/ConnectClient.h"
 #include "balsammill/v1/operator.pb.h"
@@ -17,6 +18,8 @@
 
 struct TimelineFlags {
     std::vector<std::string> addresses;
+    std::vector<std::string> logFiles;
+    std::int64_t contextMs { 2'000 };
     std::string token;
     std::string subject;
     std::string vm;
@@ -75,8 +78,32 @@
     return toTimeline(response, response.now_us() - (sentUs + receivedUs) / 2);
 }
 
+// One request's story out of the log files of several processes.
+int printStory(const TimelineFlags& flags)
+{
+    std::vector<std::string> lines;
+    for (const auto& path : flags.logFiles) {
+        std::ifstream file(path);
+        if (!file)
+            throw std::runtime_error("log file '" + path + "' cannot be opened");
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(line);
+    }
+    const auto story
+        = requestStory(lines, { .subject = flags.subject, .context = std::chrono::milliseconds(flags.contextMs) });
+    for (const auto& line : story)
+        std::cout << line << '\n';
+    if (story.empty())
+        std::cerr << "no line about '" << flags.subject << "'; requests that end well are sampled\n";
+    return story.empty() ? 1 : 0;
+}
+
 int printTimeline(const TimelineFlags& flags)
 {
+    if (!flags.logFiles.empty())
+        return printStory(flags);
+    if (flags.addresses.empty() || flags.token.empty())
+        throw std::runtime_error("timeline needs --log, or --address and --token");
     std::vector<ProcessTimeline> timelines;
     int unreachable = 0;
     for (const auto& address : flags.addresses) {
@@ -106,10 +133,12 @@
 {
     auto* command = app.add_subcommand("timeline", "Prints the events of several entries in the order of time");
     auto flags = std::make_shared<TimelineFlags>();
+    command->add_option("--log", flags->logFiles, "Structured log of a process; may be repeated. Needs --subject");
+    command->add_option("--context-ms", flags->contextMs, "Show what else happened this long around the request")
+        ->capture_default_str();
     command->add_option("--address", flags->addresses, "IP:port of an entry's operator address; may be repeated")
-        ->required()
         ->envname("BALSAMMILL_OPERATOR_ADDRESS");
-    command->add_option("--token", flags->token, "Operator token")->required()->envname("BALSAMMILL_OPERATOR_TOKEN");
+    command->add_option("--token", flags->token, "Operator token")->envname("BALSAMMILL_OPERATOR_TOKEN");
     command->add_option("--subject", flags->subject, "Only events of this call or job");
     command->add_option("--vm", flags->vm, "Only events of or about this VM");
     command->add_option("--trace", flags->traceFile, "Also write trace-event JSON to this file");
--- a/libs/http/include/balsammill/http/HttpServer.h
+++ b/libs/http/include/balsammill/http/HttpServer.h
@@ -37,7 +37,8 @@
 
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
-/// Accepts connections on one address and serves their requests, one at a time a connection, on the event loop's thread.
+/// Accepts connections on one address and serves their requests, one at a time a connection, on the event loop's
+/// thread.
 class HttpServer {
 public:
     /// Throws boost::system::system_error if the address cannot be bound.
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -106,8 +106,7 @@
 private:
     void write()
     {
-        socket_.async_send(
-            asio::buffer(text_.data() + bytesWritten_, text_.size() - bytesWritten_),
+        socket_.async_send(asio::buffer(text_.data() + bytesWritten_, text_.size() - bytesWritten_),
             [self = shared_from_this()](error_code error, std::size_t count) {
                 if (!self->callback_)
                     return;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -124,7 +124,8 @@
         });
     }
 
-    // One read is always outstanding, so that a client that closes its connection is noticed while its request is handled.
+    // One read is always outstanding, so that a client that closes its connection is noticed while its request is
+    // handled.
     void read()
     {
         if (closed_ || reading_ || pending_.size() > maxPipelinedBytes)
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -48,7 +48,8 @@
 Incarnation newIncarnation()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
+    return Incarnation(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
 }
 
 } // namespace
@@ -85,7 +86,11 @@
         : log({ .vm = settings.vm.value,
             .linesPerSecond = options.logLinesPerSecond,
             .sampleOneIn = options.logSampleOneIn })
-        , context { .loop = loop, .settings = settings, .incarnation = newIncarnation(), .log = log, .metrics = metrics }
+        , context { .loop = loop,
+            .settings = settings,
+            .incarnation = newIncarnation(),
+            .log = log,
+            .metrics = metrics }
         , store(loop, settings.storeAddress)
         , peers(loop,
               { .listen = settings.peerListen,
@@ -338,10 +343,12 @@
             const auto load = server->load();
             metrics.gauge("shard_waiting_jobs{shard=\"" + name.value + "\"}", load.waitingJobs);
             metrics.gauge("shard_running_tasks{shard=\"" + name.value + "\"}", load.runningTasks);
-            metrics.gauge("shard_free_millicores{shard=\"" + name.value + "\"}", static_cast<double>(load.freeMilliCores));
+            metrics.gauge(
+                "shard_free_millicores{shard=\"" + name.value + "\"}", static_cast<double>(load.freeMilliCores));
             metrics.gauge("shard_usable_upstreams{shard=\"" + name.value + "\"}", load.usableUpstreams);
         }
-        exchange.respond({ .status = 200, .fields = {}, .body = metrics.exposition(), .contentType = "text/plain; version=0.0.4" });
+        exchange.respond(
+            { .status = 200, .fields = {}, .body = metrics.exposition(), .contentType = "text/plain; version=0.0.4" });
     }
 
     void scheduleTick()
--- a/libs/node/src/JobClient.cpp
+++ b/libs/node/src/JobClient.cpp
@@ -49,8 +49,9 @@
 RequestNumber JobClient::submit(Shards::JobSpec spec, TimePoint answerBy, JobAnswerCallback callback)
 {
     const RequestNumber number { ++lastRequest_ };
-    requests_[number]
-        = { .spec = std::move(spec), .callback = std::move(callback), .arrivedAt = monotonicNow(), .answerBy = answerBy };
+    requests_[number] = {
+        .spec = std::move(spec), .callback = std::move(callback), .arrivedAt = monotonicNow(), .answerBy = answerBy
+    };
     dispatch(number);
     return number;
 }
@@ -100,7 +101,8 @@
     if (!target && request.attempts < maxAttempts)
         target = choose(request);
     if (!target) {
-        context_.log.event("job.no_owner", { { "id", request.spec.id.value }, { "attempts", std::uint64_t { request.attempts } } });
+        context_.log.event(
+            "job.no_owner", { { "id", request.spec.id.value }, { "attempts", std::uint64_t { request.attempts } } });
         context_.metrics.count("refused_without_owner");
         boost::asio::post(context_.loop, [this, number] {
             if (requests_.contains(number))
@@ -117,8 +119,8 @@
         ? Duration::zero()
         : std::max<Duration>(request.answerBy - now, std::chrono::milliseconds(1));
     if (target->local != nullptr) {
-        target->local->submit({ .link = nullptr, .number = number.value }, request.spec, age, patience, !request.redirected,
-            [this, number](const OwnerAnswer& result) {
+        target->local->submit({ .link = nullptr, .number = number.value }, request.spec, age, patience,
+            !request.redirected, [this, number](const OwnerAnswer& result) {
                 boost::asio::post(context_.loop, [this, number, result] { handleOwnerAnswer(number, result); });
             });
         return;
--- a/libs/node/src/JobFront.cpp
+++ b/libs/node/src/JobFront.cpp
@@ -64,8 +64,8 @@
         exchange->respond(Platform::badRequest("method " + request.method + " is not supported"));
 }
 
-void JobFront::submit(
-    const QueueConfig& queue, const std::string& id, const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+void JobFront::submit(const QueueConfig& queue, const std::string& id, const HttpRequest& request,
+    const std::shared_ptr<HttpExchange>& exchange)
 {
     Platform::JobSubmission submission;
     try {
@@ -99,8 +99,8 @@
         context_.log.event("job.received", { { "id", id }, { "queue", queue.name.value } });
     const auto patience = Platform::clientPatience(request);
     const auto answerBy = patience ? arrivedAt + *patience : TimePoint::max();
-    const auto number = jobs_.submit(std::move(submission.spec), answerBy,
-        [this, exchange, id, queueLabel, arrivedAt](const JobAnswer& answer) {
+    const auto number = jobs_.submit(
+        std::move(submission.spec), answerBy, [this, exchange, id, queueLabel, arrivedAt](const JobAnswer& answer) {
             const auto took = toMs(monotonicNow() - arrivedAt);
             const char* outcome = "in_doubt";
             HttpResponse response;
--- a/libs/node/src/NodeMetrics.h
+++ b/libs/node/src/NodeMetrics.h
@@ -19,7 +19,8 @@
     std::string exposition() const;
 
     /// Upper bounds of the buckets of a histogram; from a round trip within a failure domain to a client's patience.
-    static constexpr std::array<double, 14> bucketsMs { 1, 2, 5, 10, 20, 50, 100, 150, 200, 400, 800, 1600, 3200, 6400 };
+    static constexpr std::array<double, 14> bucketsMs { 1, 2, 5, 10, 20, 50, 100, 150, 200, 400, 800, 1600, 3200,
+        6400 };
 
 private:
     struct Histogram {
--- a/libs/node/src/PeerLink.cpp
+++ b/libs/node/src/PeerLink.cpp
@@ -83,16 +83,15 @@
 void PeerLink::write()
 {
     writing_.swap(output_);
-    asio::async_write(
-        socket_, asio::buffer(writing_), [self = shared_from_this()](error_code error, std::size_t) {
-            if (self->closed_)
-                return;
-            self->writing_.clear();
-            if (error)
-                self->close(endOf(error));
-            else if (!self->output_.empty())
-                self->write();
-        });
+    asio::async_write(socket_, asio::buffer(writing_), [self = shared_from_this()](error_code error, std::size_t) {
+        if (self->closed_)
+            return;
+        self->writing_.clear();
+        if (error)
+            self->close(endOf(error));
+        else if (!self->output_.empty())
+            self->write();
+    });
 }
 
 void PeerLink::read()
--- a/libs/node/src/ShardDirectory.cpp
+++ b/libs/node/src/ShardDirectory.cpp
@@ -80,7 +80,9 @@
     record.set_released(owner.released);
     record.set_handed_over_by(owner.handedOverBy.value);
     record.set_handed_over_by_incarnation(owner.handedOverByIncarnation.value);
-    return { .table = table, .part = {}, .key = name.value, .value = record.SerializeAsString(), .version = owner.version };
+    return {
+        .table = table, .part = {}, .key = name.value, .value = record.SerializeAsString(), .version = owner.version
+    };
 }
 
 Platform::Row ShardDirectory::encodeLayout(unsigned shardsPerDomain)
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ShardOwnership.cpp
@@ -85,8 +85,8 @@
 
 void ShardOwnership::decideLayout(TimePoint now)
 {
-    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !upstreamRows_ || !upstreamRows_->loaded()
-        || now - startedAt_ < layoutDelay || upstreams_.empty())
+    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !upstreamRows_
+        || !upstreamRows_->loaded() || now - startedAt_ < layoutDelay || upstreams_.empty())
         return;
     std::map<FailureDomain, std::size_t> perDomain;
     for (const auto& [id, info] : upstreams_)
@@ -165,7 +165,7 @@
     const auto* owner = directory_.find(name);
     Shards::OwnershipQuestion question { .shard = { .recorded = owner != nullptr },
         .storeCurrentAt = records_.currentAt(),
-        .connectedToOthers = peers_.connectedToAny(),
+        .connectedToOthers = peers_.connectedToAny() || !knowsThirdOwner(owner),
         .ownedShards = static_cast<unsigned>(servers_.size()),
         .processorShare = context_.settings.processorShare,
         .now = now };
@@ -236,6 +236,14 @@
         server->cancel(submitter);
 }
 
+bool ShardOwnership::knowsThirdOwner(const ShardOwner* besides) const
+{
+    return std::any_of(directory_.owners().begin(), directory_.owners().end(), [&](const auto& entry) {
+        const auto& vm = entry.second.vm;
+        return vm != context_.settings.vm && (besides == nullptr || vm != besides->vm) && !entry.second.released;
+    });
+}
+
 void ShardOwnership::claim(const Shards::ShardName& name, const PeerId& handedOverBy, TimePoint now)
 {
     const auto* previous = directory_.find(name);
@@ -257,7 +265,8 @@
                 return;
             auto& done = pending_[name];
             done.writing = false;
-            context_.metrics.count("shard_claims", result.status == Platform::StoreStatus::Ok ? R"(outcome="won")" : R"(outcome="lost")");
+            context_.metrics.count(
+                "shard_claims", result.status == Platform::StoreStatus::Ok ? R"(outcome="won")" : R"(outcome="lost")");
             if (result.status == Platform::StoreStatus::Ok) {
                 auto written = ShardDirectory::encode(name, next);
                 written.version = result.version;
@@ -324,8 +333,8 @@
     if (owner == nullptr)
         return;
     const bool serving = servers_.contains(name);
-    const bool handedOver = owner->handedOverBy == context_.settings.vm
-        && owner->handedOverByIncarnation == context_.incarnation;
+    const bool handedOver
+        = owner->handedOverBy == context_.settings.vm && owner->handedOverByIncarnation == context_.incarnation;
     if (serving && !isMine(*owner) && handedOver) {
         retire(name);
         return;
--- a/libs/node/src/ShardOwnership.h
+++ b/libs/node/src/ShardOwnership.h
@@ -49,6 +49,7 @@
     void decideLayout(TimePoint now);
     void considerClaim(const Shards::ShardName&, TimePoint now);
     void claim(const Shards::ShardName&, const PeerId& handedOverBy, TimePoint now);
+    bool knowsThirdOwner(const ShardOwner* besides) const;
     void handOver(const Shards::ShardName&, TimePoint now);
     void retire(const Shards::ShardName&);
     void followUpstreams();
--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -164,9 +164,8 @@
     progress();
 }
 
-void ShardServer::submit(
-    const Submitter& submitter, Shards::JobSpec spec, Duration age, Duration patience, bool mayRedirect,
-    OwnerAnswerCallback callback)
+void ShardServer::submit(const Submitter& submitter, Shards::JobSpec spec, Duration age, Duration patience,
+    bool mayRedirect, OwnerAnswerCallback callback)
 {
     const auto now = monotonicNow();
     if (retiring_ || abandoned_) {
@@ -176,11 +175,12 @@
     const auto forecast = engine_.forecast(spec, now - age, now);
     // Until the upstreams have reported there is nothing to forecast by; they do within a few round trips.
     const bool settling = now - startedAt_ < settlingTime;
-    const auto decision = settling ? Shards::AdmissionDecision(Shards::AcceptJob {})
-                                   : Shards::decideAdmission({ .job = spec,
-                                         .forecast = forecast,
-                                         .others = mayRedirect ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
-                                         .now = now });
+    const auto decision = settling
+        ? Shards::AdmissionDecision(Shards::AcceptJob {})
+        : Shards::decideAdmission({ .job = spec,
+            .forecast = forecast,
+            .others = mayRedirect ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
+            .now = now });
     const bool sampled = context_.log.samples(spec.id.value);
     const auto queueLabel = "queue=\"" + spec.queue.value + "\"";
     if (const auto* redirect = std::get_if<Shards::SendToShard>(&decision)) {
@@ -188,7 +188,9 @@
         if (sampled)
             context_.log.event("job.redirected",
                 { { "id", spec.id.value }, { "shard", name_.value }, { "to", redirect->shard.value },
-                    { "forecast_ms", toMs(forecast.endAt - now) < 1e9 ? static_cast<std::int64_t>(toMs(forecast.endAt - now)) : std::int64_t { -1 } } });
+                    { "forecast_ms",
+                        toMs(forecast.endAt - now) < 1e9 ? static_cast<std::int64_t>(toMs(forecast.endAt - now))
+                                                         : std::int64_t { -1 } } });
         callback({ .kind = OwnerAnswer::Kind::Redirected, .retryAfter = {}, .redirect = redirect->shard });
         return;
     }
@@ -262,7 +264,7 @@
         entry.callback({ .kind = OwnerAnswer::Kind::InDoubt, .retryAfter = {}, .redirect = {} });
 }
 
-void ShardServer::finish(const Shards::FinishJob& finished)
+void ShardServer::carryOut(const Shards::FinishJob& finished)
 {
     const auto found = open_.find(finished.submission);
     if (found == open_.end())
@@ -283,32 +285,46 @@
     entry.callback({ .kind = answerKind(finished.result), .retryAfter = {}, .redirect = {} });
 }
 
-void ShardServer::carryOut(Shards::ShardActions actions)
+void ShardServer::carryOut(const Shards::ShardActions& actions)
 {
-    for (const auto& action : actions) {
-        std::visit(
-            [this](const auto& step) {
-                using Type = std::decay_t<decltype(step)>;
-                if constexpr (std::is_same_v<Type, Shards::FinishJob>) {
-                    finish(step);
-                } else if constexpr (std::is_same_v<Type, Shards::StartTask>) {
-                    if (context_.log.samples(step.task.job.value))
-                        context_.log.event("task.started",
-                            { { "id", step.task.job.value }, { "step", std::uint64_t { step.task.step } },
-                                { "index", std::uint64_t { step.task.index } }, { "run", step.run.value },
-                                { "upstream", step.upstream.value }, { "fence", epoch_.value } });
-                    if (auto* target = session(step.upstream))
-                        target->start(step);
-                } else {
-                    context_.log.event("task.stopped",
-                        { { "id", step.task.job.value }, { "index", std::uint64_t { step.task.index } },
-                            { "run", step.run.value }, { "upstream", step.upstream.value } });
-                    if (auto* target = session(step.upstream))
-                        target->stop(step);
-                }
-            },
-            action);
-    }
+    for (const auto& action : actions)
+        std::visit([this](const auto& step) { carryOut(step); }, action);
+}
+
+void ShardServer::carryOut(const Shards::StartTask& start)
+{
+    if (context_.log.samples(start.task.job.value))
+        context_.log.event("task.started",
+            { { "id", start.task.job.value }, { "step", std::uint64_t { start.task.step } },
+                { "index", std::uint64_t { start.task.index } }, { "run", start.run.value },
+                { "upstream", start.upstream.value }, { "fence", epoch_.value } });
+    if (auto* target = session(start.upstream))
+        target->start(start);
+}
+
+void ShardServer::carryOut(const Shards::StopTask& stop)
+{
+    context_.log.event("task.stopped",
+        { { "id", stop.task.job.value }, { "index", std::uint64_t { stop.task.index } }, { "run", stop.run.value },
+            { "upstream", stop.upstream.value } });
+    if (auto* target = session(stop.upstream))
+        target->stop(stop);
+}
+
+void ShardServer::carryOut(const Shards::TaskFailed& failed)
+{
+    context_.metrics.count("task_failures");
+    context_.log.event("task.failed",
+        { { "id", failed.task.job.value }, { "index", std::uint64_t { failed.task.index } },
+            { "run", failed.run.value }, { "upstream", failed.upstream.value },
+            { "failures", std::uint64_t { failed.failures } }, { "allowed", std::uint64_t { failed.maxAttempts } } });
+}
+
+void ShardServer::carryOut(const Shards::UpstreamSuspected& suspected)
+{
+    context_.metrics.count("upstreams_suspected");
+    context_.log.event("upstream.suspected",
+        { { "upstream", suspected.upstream.value }, { "pause_ms", static_cast<std::int64_t>(toMs(suspected.pause)) } });
 }
 
 void ShardServer::progress()
@@ -324,10 +340,10 @@
     do {
         progressAgain_ = false;
         engine_.schedule(monotonicNow());
-        auto actions = engine_.takeActions();
+        const auto actions = engine_.takeActions();
         if (!actions.empty())
             progressAgain_ = true;
-        carryOut(std::move(actions));
+        carryOut(actions);
     } while (progressAgain_ && !abandoned_);
     progressing_ = false;
 }
--- a/libs/node/src/ShardServer.h
+++ b/libs/node/src/ShardServer.h
@@ -9,9 +9,9 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
-#include <memory>
 #include <unordered_map>
 #include <variant>
 
@@ -67,7 +67,8 @@
 
     /// age: time since the client's request arrived. The callback is called exactly once, unless the submission is
     /// cancelled or the server destroyed.
-    void submit(const Submitter&, Shards::JobSpec, Duration age, Duration patience, bool mayRedirect, OwnerAnswerCallback);
+    void submit(
+        const Submitter&, Shards::JobSpec, Duration age, Duration patience, bool mayRedirect, OwnerAnswerCallback);
     void cancel(const Submitter&);
     /// Cancels every submission that came over a connection.
     void cancelAllOf(const PeerLink&);
@@ -98,8 +99,12 @@
     };
 
     void progress();
-    void carryOut(Shards::ShardActions);
-    void finish(const Shards::FinishJob&);
+    void carryOut(const Shards::ShardActions&);
+    void carryOut(const Shards::StartTask&);
+    void carryOut(const Shards::StopTask&);
+    void carryOut(const Shards::FinishJob&);
+    void carryOut(const Shards::TaskFailed&);
+    void carryOut(const Shards::UpstreamSuspected&);
     UpstreamSession* session(const Shards::UpstreamId&);
     void openSession(const Shards::UpstreamInfo&);
     void releaseIdle();
--- a/libs/node/src/TableFollower.cpp
+++ b/libs/node/src/TableFollower.cpp
@@ -78,27 +78,28 @@
 void TableFollower::follow()
 {
     const auto now = monotonicNow();
-    store_.follow(table_, version_, followWait, now + followWait + followSlack, [this, alive = alive_](const auto& result) {
-        if (!*alive)
-            return;
-        if (result.status == Platform::StoreStatus::HistoryGone) {
-            load({});
-            return;
-        }
-        if (result.status != Platform::StoreStatus::Ok) {
-            fail(result.error);
-            return;
-        }
-        for (const auto& row : result.rows)
-            apply(row);
-        version_ = std::max(version_, result.version);
-        currentAt_ = monotonicNow();
-        succeed();
-        if (result.rows.empty() || pause_ == Duration::zero())
-            follow();
-        else
-            followAfter(pause_);
-    });
+    store_.follow(
+        table_, version_, followWait, now + followWait + followSlack, [this, alive = alive_](const auto& result) {
+            if (!*alive)
+                return;
+            if (result.status == Platform::StoreStatus::HistoryGone) {
+                load({});
+                return;
+            }
+            if (result.status != Platform::StoreStatus::Ok) {
+                fail(result.error);
+                return;
+            }
+            for (const auto& row : result.rows)
+                apply(row);
+            version_ = std::max(version_, result.version);
+            currentAt_ = monotonicNow();
+            succeed();
+            if (result.rows.empty() || pause_ == Duration::zero())
+                follow();
+            else
+                followAfter(pause_);
+        });
 }
 
 void TableFollower::followAfter(Duration delay)
--- a/libs/node/src/UpstreamSession.cpp
+++ b/libs/node/src/UpstreamSession.cpp
@@ -129,7 +129,8 @@
                 self->engine_.handleStarted(self->id_, start.task, start.run, answered);
             }
         } catch (const Platform::FormatError& error) {
-            self->context_.log.event("upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
+            self->context_.log.event(
+                "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
             self->settle(start, 0);
         }
     });
@@ -142,8 +143,8 @@
     const auto now = monotonicNow();
     const auto request
         = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndHandled(id_), Duration::zero());
-    orders_->send(request, now + answerTimeout,
-        [self = shared_from_this(), start, now, attempt](const HttpResult& result) {
+    orders_->send(
+        request, now + answerTimeout, [self = shared_from_this(), start, now, attempt](const HttpResult& result) {
             if (self->closed_)
                 return;
             const auto answered = monotonicNow();
@@ -185,7 +186,8 @@
         }
         // The run cannot begin any more, but it may have begun just before the stop. Its end is listed once the stop
         // has taken effect, so the report that decides is asked for after that.
-        self->after(self->context_.settings.stopGrace + stopMargin, [self, start, attempt] { self->settleByReport(start, attempt); });
+        self->after(self->context_.settings.stopGrace + stopMargin,
+            [self, start, attempt] { self->settleByReport(start, attempt); });
     });
 }
 
@@ -194,41 +196,43 @@
     const auto sentAt = monotonicNow();
     const auto request
         = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndHandled(id_), Duration::zero());
-    orders_->send(request, sentAt + answerTimeout, [self = shared_from_this(), start, attempt, sentAt](const HttpResult& result) {
-        if (self->closed_)
-            return;
-        const auto now = monotonicNow();
-        if (!self->noteAnswer(result, now) || result.response->status != 200) {
-            if (!self->closed_)
-                self->retrySettle(start, attempt);
-            return;
-        }
-        try {
-            const auto report = Platform::parseReport(*result.response);
-            const bool listed = std::any_of(report.running.begin(), report.running.end(),
-                [&](const auto& each) { return each.task == start.task && each.run == start.run; });
-            self->engine_.handleReport(self->id_, report, sentAt, now);
-            if (listed)
+    orders_->send(
+        request, sentAt + answerTimeout, [self = shared_from_this(), start, attempt, sentAt](const HttpResult& result) {
+            if (self->closed_)
+                return;
+            const auto now = monotonicNow();
+            if (!self->noteAnswer(result, now) || result.response->status != 200) {
+                if (!self->closed_)
+                    self->retrySettle(start, attempt);
+                return;
+            }
+            try {
+                const auto report = Platform::parseReport(*result.response);
+                const bool listed = std::any_of(report.running.begin(), report.running.end(),
+                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
+                self->engine_.handleReport(self->id_, report, sentAt, now);
+                if (listed)
+                    self->retrySettle(start, attempt);
+                else
+                    self->engine_.handleNeverStarted(self->id_, start.task, start.run, now);
+                self->handlers_.progressed();
+            } catch (const Platform::FormatError& error) {
+                self->context_.log.event(
+                    "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
                 self->retrySettle(start, attempt);
-            else
-                self->engine_.handleNeverStarted(self->id_, start.task, start.run, now);
-            self->handlers_.progressed();
-        } catch (const Platform::FormatError& error) {
-            self->context_.log.event(
-                "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
-            self->retrySettle(start, attempt);
-        }
-    });
+            }
+        });
 }
 
 void UpstreamSession::after(Duration delay, std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop);
     timer->expires_after(delay);
-    timer->async_wait([self = shared_from_this(), timer, action = std::move(action)](const boost::system::error_code& error) {
-        if (!error && !self->closed_)
-            action();
-    });
+    timer->async_wait(
+        [self = shared_from_this(), timer, action = std::move(action)](const boost::system::error_code& error) {
+            if (!error && !self->closed_)
+                action();
+        });
 }
 
 void UpstreamSession::retrySettle(const Shards::StartTask& start, int attempt)
--- /dev/null
+++ b/libs/observe/tests/RequestStoryTests.cpp
@@ -0,0 +1,91 @@
+#include "balsammill/observe/RequestStory.h"
+#include "balsammill/observe/StructuredLog.h"
+
+#include <doctest/doctest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+using namespace Balsammill;
+
+TEST_CASE("A request's story has its own lines and what happened around it, by time")
+{
+    const std::vector<std::string> lines {
+        "time=2000 vm=b event=job.accepted id=7 shard=v/0",
+        "time=1000 vm=a event=job.received id=7",
+        "time=1500 vm=c event=job.received id=8",
+        "time=2500 vm=c event=shard.gained shard=v/0 epoch=2",
+        "time=90000 vm=c event=store.lost reason=timeout",
+        "not a line of the log",
+        "time=3000 vm=a event=job.answered id=7 outcome=in_doubt",
+    };
+    const auto story = requestStory(lines, { .subject = "7" });
+    REQUIRE_EQ(story.size(), 4);
+    CHECK_EQ(story[0], lines[1]);
+    CHECK_EQ(story[1], lines[0]);
+    CHECK_EQ(story[2], lines[3]);
+    CHECK_EQ(story[3], lines[6]);
+    CHECK(requestStory(lines, { .subject = "9" }).empty());
+}
+
+TEST_CASE("Values with spaces and quotes are read back")
+{
+    CHECK_EQ(logValue(R"(time=1 reason="a \"b\" = c" id=7)", "reason"), "a \"b\" = c");
+    CHECK_EQ(logValue(R"(time=1 reason="a \"b\" = c" id=7)", "id"), "7");
+    CHECK_EQ(logValue("time=1", "id"), "");
+}
+
+// Guards against a process that stops because nobody reads its standard output.
+TEST_CASE("A reader that does not read blocks nothing, and what is lost is counted")
+{
+    std::array<int, 2> pipe {};
+    REQUIRE_EQ(::pipe2(pipe.data(), O_CLOEXEC | O_NONBLOCK), 0);
+    {
+        StructuredLog log(
+            { .vm = "e1", .fileDescriptor = pipe[1], .linesPerSecond = 1'000'000, .bufferBytes = 16 * 1024 });
+        for (int i = 0; i < 50'000; ++i)
+            log.event("job.refused", { { "id", std::int64_t { i } }, { "reason", "no room" } });
+        CHECK_GT(log.droppedLines(), 0);
+    }
+    ::close(pipe[0]);
+    ::close(pipe[1]);
+}
+
+// Guards against logs that grow with the load: what is left out is counted in a line of its own.
+TEST_CASE("A flood of one event is cut to its budget")
+{
+    std::array<int, 2> pipe {};
+    REQUIRE_EQ(::pipe2(pipe.data(), O_CLOEXEC), 0);
+    {
+        StructuredLog log({ .vm = "e1", .fileDescriptor = pipe[1], .linesPerSecond = 20 });
+        for (int i = 0; i < 10'000; ++i)
+            log.event("job.refused", { { "id", std::int64_t { i } } });
+        log.flush(monotonicNow() + std::chrono::seconds(5));
+    }
+    ::close(pipe[1]);
+    std::string text(1 << 16, '\0');
+    const auto count = ::read(pipe[0], text.data(), text.size());
+    ::close(pipe[0]);
+    REQUIRE_GT(count, 0);
+    const auto lines = std::count(text.begin(), text.begin() + count, '\n');
+    // The loop may cross into further seconds, each with a budget and a line for what was left out.
+    CHECK_LE(lines, 20 * 5);
+}
+
+TEST_CASE("A request is sampled in every process or in none")
+{
+    StructuredLog one({ .vm = "e1", .fileDescriptor = 1, .sampleOneIn = 4 });
+    StructuredLog two({ .vm = "e2", .fileDescriptor = 1, .sampleOneIn = 4 });
+    int sampled = 0;
+    for (int i = 0; i < 400; ++i) {
+        const auto id = std::to_string(i);
+        CHECK_EQ(one.samples(id), two.samples(id));
+        sampled += one.samples(id) ? 1 : 0;
+    }
+    CHECK_GT(sampled, 40);
+    CHECK_LT(sampled, 200);
+}
--- a/libs/shards/include/balsammill/shards/Admission.h
+++ b/libs/shards/include/balsammill/shards/Admission.h
@@ -16,8 +16,7 @@
     std::uint32_t waitingJobs { 0 };
 };
 
-struct AcceptJob {
-};
+struct AcceptJob { };
 
 /// Another shard has room for the whole job now.
 struct SendToShard {
@@ -41,7 +40,8 @@
 };
 
 /// Decides about a job that has arrived at a shard. It answers load beyond the shard's capacity: a job that would miss
-/// its objective here goes to the shard with the most free room if it fits there, and is refused at once if there is none.
+/// its objective here goes to the shard with the most free room if it fits there, and is refused at once if there is
+/// none.
 AdmissionDecision decideAdmission(const AdmissionQuestion&);
 
 } // namespace Balsammill::Shards
--- a/libs/shards/include/balsammill/shards/JobSpec.h
+++ b/libs/shards/include/balsammill/shards/JobSpec.h
@@ -85,6 +85,7 @@
 template <> struct std::hash<Balsammill::Shards::TaskKey> {
     std::size_t operator()(const Balsammill::Shards::TaskKey& key) const noexcept
     {
-        return std::hash<std::string> {}(key.job.value) * 31 + key.occurrence * 1000003ULL + key.step * 8191ULL + key.index;
+        return std::hash<std::string> {}(key.job.value) * 31 + key.occurrence * 1000003ULL + key.step * 8191ULL
+            + key.index;
     }
 };
--- a/libs/shards/include/balsammill/shards/OwnershipPolicy.h
+++ b/libs/shards/include/balsammill/shards/OwnershipPolicy.h
@@ -34,7 +34,7 @@
     ShardView shard;
     /// When the store last confirmed that the view of the records is current.
     TimePoint storeCurrentAt {};
-    /// This entry is connected to at least one other entry, or there is none.
+    /// This entry is connected to at least one other entry, or knows of none besides the owner.
     bool connectedToOthers { false };
     /// Shards that this entry owns already.
     unsigned ownedShards { 0 };
--- a/libs/shards/include/balsammill/shards/ShardActions.h
+++ b/libs/shards/include/balsammill/shards/ShardActions.h
@@ -43,7 +43,22 @@
     Duration waited {};
 };
 
-using ShardAction = std::variant<StartTask, StopTask, FinishJob>;
+/// Something that was learned, for the log; nothing has to be sent.
+struct TaskFailed {
+    UpstreamId upstream;
+    TaskKey task;
+    RunNumber run;
+    std::uint32_t failures { 0 };
+    std::uint32_t maxAttempts { 0 };
+};
+
+/// An upstream gets no tasks for a while, because tasks failed or stood still there.
+struct UpstreamSuspected {
+    UpstreamId upstream;
+    Duration pause {};
+};
+
+using ShardAction = std::variant<StartTask, StopTask, FinishJob, TaskFailed, UpstreamSuspected>;
 using ShardActions = std::vector<ShardAction>;
 
 } // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -242,6 +242,11 @@
     if (task.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
         suspect(upstream, now);
     ++task.failures;
+    actions_.emplace_back(TaskFailed { .upstream = upstream.info.id,
+        .task = { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index },
+        .run = task.run,
+        .failures = task.failures,
+        .maxAttempts = job.spec->maxAttempts });
     task.avoid = upstream.info.id;
     if (task.failures >= job.spec->maxAttempts) {
         finishJob(job, JobResult::Failed, now);
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -152,6 +152,7 @@
     upstream.suspectedUntil = now + upstream.suspicion;
     upstream.onProbation = true;
     upstream.consecutiveFailures = 0;
+    actions_.emplace_back(UpstreamSuspected { .upstream = upstream.info.id, .pause = upstream.suspicion });
 }
 
 void ShardEngine::checkOverdue(Upstream& upstream, TimePoint now)
@@ -165,10 +166,11 @@
         const auto expected = job->expectedRunTime(model_, key.step);
         auto& task = job->steps[key.step].tasks[key.index];
         // Each stop doubles the limit, so that a task that really is long gets its time.
-        const double factor = std::ldexp(
-            job->steps[key.step].observations > 0 ? overdueFactorBySiblings : overdueFactorByModel,
-            static_cast<int>(task.overdueStops));
-        const auto limit = Duration(static_cast<Duration::rep>(factor * static_cast<double>(expected.count()))) + overdueMargin;
+        const double factor
+            = std::ldexp(job->steps[key.step].observations > 0 ? overdueFactorBySiblings : overdueFactorByModel,
+                static_cast<int>(task.overdueStops));
+        const auto limit
+            = Duration(static_cast<Duration::rep>(factor * static_cast<double>(expected.count()))) + overdueMargin;
         if (now - run.orderedAt <= limit)
             continue;
         model_.recordStopped(*job->spec, job->spec->steps[key.step], now - run.orderedAt);
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -50,8 +50,7 @@
 bool ShardEngine::usable(const Upstream& upstream, TimePoint now) const
 {
     return upstream.registered && upstream.confirmed && upstream.foreignRuns == 0 && upstream.reachable
-        && !upstream.info.draining
-        && now >= upstream.suspectedUntil;
+        && !upstream.info.draining && now >= upstream.suspectedUntil;
 }
 
 bool ShardEngine::canHold(const Upstream& upstream, const JobSpec& job, const StepSpec& step) const
@@ -101,8 +100,8 @@
     const auto& spec = job.spec->steps[stepIndex];
     const TaskKey key { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index };
     const auto expected = job.expectedRunTime(model_, stepIndex);
-    const auto there = Duration(static_cast<Duration::rep>(
-        static_cast<double>(expected.count()) * model_.slowness(upstream.info.id)));
+    const auto there = Duration(
+        static_cast<Duration::rep>(static_cast<double>(expected.count()) * model_.slowness(upstream.info.id)));
     task.state = Task::State::Active;
     task.run = number;
     task.upstream = upstream.info.id;
@@ -349,8 +348,8 @@
     const Place own { .late = false, .latestStart = result.objectiveAt - longestChain, .job = nullptr, .spec = &spec };
     const auto before = jobsInOrder(now);
     auto with = before;
-    const auto position = std::upper_bound(
-        with.begin(), with.end(), own, [](const Place& a, const Place& b) { return a.before(b); });
+    const auto position
+        = std::upper_bound(with.begin(), with.end(), own, [](const Place& a, const Place& b) { return a.before(b); });
     const auto index = static_cast<std::size_t>(position - with.begin());
     with.insert(position, own);
     const auto planned = plan(std::move(with), spec, now);
--- a/libs/shards/tests/AdmissionTests.cpp
+++ b/libs/shards/tests/AdmissionTests.cpp
@@ -12,7 +12,12 @@
 
 JobForecast lateForecast()
 {
-    return { .startAt = at(0), .endAt = at(900), .objectiveAt = at(220), .impossible = false, .displacedWork = {}, .ownWork = {} };
+    return { .startAt = at(0),
+        .endAt = at(900),
+        .objectiveAt = at(220),
+        .impossible = false,
+        .displacedWork = {},
+        .ownWork = {} };
 }
 
 } // namespace
@@ -37,8 +42,7 @@
 TEST_CASE("A job that fits nowhere in time is refused with the time by which it is late")
 {
     const auto spec = makeSpec({ .tasks = 4 });
-    const auto decision
-        = decideAdmission({ .job = spec, .forecast = lateForecast(), .others = {}, .now = at(0) });
+    const auto decision = decideAdmission({ .job = spec, .forecast = lateForecast(), .others = {}, .now = at(0) });
     REQUIRE(std::holds_alternative<RefuseJob>(decision));
     CHECK_EQ(std::get<RefuseJob>(decision).retryAfter, Duration(milliseconds(680)));
 }
--- a/libs/shards/tests/OwnershipPolicyTests.cpp
+++ b/libs/shards/tests/OwnershipPolicyTests.cpp
@@ -12,8 +12,12 @@
 
 OwnershipQuestion question()
 {
-    return { .shard = { .recorded = true, .released = false, .ownedHere = false, .ownedByPredecessor = false,
-                 .owner = PeerState::Connected, .changedAt = at(0) },
+    return { .shard = { .recorded = true,
+                 .released = false,
+                 .ownedHere = false,
+                 .ownedByPredecessor = false,
+                 .owner = PeerState::Connected,
+                 .changedAt = at(0) },
         .storeCurrentAt = at(4'900),
         .connectedToOthers = true,
         .ownedShards = 0,
--- a/libs/shards/tests/ShardEngineTests.cpp
+++ b/libs/shards/tests/ShardEngineTests.cpp
@@ -124,7 +124,8 @@
     fixture.submit({}, 2);
     CHECK(fixture.scheduled<StartTask>(2).empty());
     UpstreamReport done { .bornMs = 1000, .running = {}, .ended = {} };
-    done.ended.push_back({ .sequence = 1, .task = orphan, .run = RunNumber(4), .how = RunEnd::Stopped, .checkpoint = {} });
+    done.ended.push_back(
+        { .sequence = 1, .task = orphan, .run = RunNumber(4), .how = RunEnd::Stopped, .checkpoint = {} });
     fixture.engine.handleReport(UpstreamId("u1"), done, at(50), at(51));
     CHECK_EQ(fixture.scheduled<StartTask>(51).size(), 1);
 }
@@ -147,7 +148,8 @@
         CHECK(fixture.scheduled<StartTask>(10).empty());
         UpstreamReport next { .bornMs = 1000, .running = {}, .ended = {} };
         const auto& task = report.running[i].task;
-        next.ended.push_back({ .sequence = i + 1, .task = task, .run = RunNumber(1), .how = RunEnd::Stopped, .checkpoint = {} });
+        next.ended.push_back(
+            { .sequence = i + 1, .task = task, .run = RunNumber(1), .how = RunEnd::Stopped, .checkpoint = {} });
         if (i == 0)
             next.running.push_back(report.running[1]);
         fixture.engine.handleReport(UpstreamId("u1"), next, at(20), at(21));
--- a/libs/shards/tests/ShardOverloadTests.cpp
+++ b/libs/shards/tests/ShardOverloadTests.cpp
@@ -157,7 +157,8 @@
     load.advanceTo(14'000);
     for (const auto& [queue, outcome] : load.outcomes) {
         const int accepted = outcome.asked - outcome.refused;
-        INFO("queue ", queue, ": asked ", outcome.asked, ", refused ", outcome.refused, ", in objective ", outcome.inObjective);
+        INFO("queue ", queue, ": asked ", outcome.asked, ", refused ", outcome.refused, ", in objective ",
+            outcome.inObjective);
         CHECK_GT(outcome.inObjective * 2, accepted);
         CHECK_GT(accepted * 10, outcome.asked);
     }
@@ -181,7 +182,8 @@
     }
     load.advanceTo(22'000);
     const auto& after = load.outcomes["logs"];
-    INFO("asked ", after.asked, ", refused ", after.refused, ", in objective ", after.inObjective, ", stops ", after.stops);
+    INFO("asked ", after.asked, ", refused ", after.refused, ", in objective ", after.inObjective, ", stops ",
+        after.stops);
     CHECK_GT(after.inObjective * 10, after.asked * 9);
     CHECK_LT(after.stops * 20, after.asked);
 }
@@ -193,7 +195,8 @@
     fixture.addUpstream(makeUpstream("u1", 14'000));
     fixture.submit({ .id = jobId(1), .milliCores = 14'000, .estimateMs = 3'000 }, 0);
     REQUIRE_EQ(fixture.scheduled<StartTask>(0).size(), 1);
-    fixture.engine.submit(SubmissionId(9), makeJob({ .id = jobId(2), .milliCores = 14'000, .estimateMs = 100 }), at(1), at(1'501));
+    fixture.engine.submit(
+        SubmissionId(9), makeJob({ .id = jobId(2), .milliCores = 14'000, .estimateMs = 100 }), at(1), at(1'501));
     fixture.engine.advance(at(50));
     CHECK(fixture.taken<FinishJob>().empty());
     fixture.engine.advance(at(200));
--- a/standin/operators/OperatorStore.cpp
+++ b/standin/operators/OperatorStore.cpp
@@ -44,7 +44,9 @@
 {
     loop_.run([this] {
         server_ = std::make_unique<Balsammill::HttpServer>(loop_.context(), Balsammill::NetworkAddress("127.0.0.1:0"),
-            [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) { handle(request, exchange); });
+            [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) {
+                handle(request, exchange);
+            });
         address_ = server_->localAddress().value;
     });
 }
@@ -103,7 +105,10 @@
     return loop_.run([&] { return writes_; });
 }
 
-void OperatorStore::change(const std::string& table, const std::string& key, Row row) { rows_[{ table, key }] = std::move(row); }
+void OperatorStore::change(const std::string& table, const std::string& key, Row row)
+{
+    rows_[{ table, key }] = std::move(row);
+}
 
 void OperatorStore::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
 {
@@ -175,7 +180,8 @@
     exchange.respond({ .status = 200, .fields = {}, .body = changesAfter(query.at("table"), 0) });
 }
 
-void OperatorStore::handleFeed(const std::map<std::string, std::string>& query, const std::shared_ptr<HttpExchange>& exchange)
+void OperatorStore::handleFeed(
+    const std::map<std::string, std::string>& query, const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto after = std::stoull(query.at("after"));
     if (after < oldestKnown_) {
--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -30,12 +30,15 @@
     : loop_(loop)
     , registry_(registry)
     , options_(options)
-    , bornMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , bornMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                  .count())
 {
     loop_.run([this] {
         leaseTimer_ = std::make_unique<boost::asio::steady_timer>(loop_.context());
         server_ = std::make_unique<Balsammill::HttpServer>(loop_.context(), Balsammill::NetworkAddress("127.0.0.1:0"),
-            [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) { handle(request, exchange); });
+            [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) {
+                handle(request, exchange);
+            });
         address_ = server_->localAddress().value;
     });
 }
@@ -53,8 +56,8 @@
 
 std::string OperatorUpstream::registration(const std::string& state) const
 {
-    return "{\"service\":\"tanim\",\"address\":\"" + address_ + "\",\"zone\":\"" + options_.domain + "\",\"state\":\"" + state
-        + "\",\"capacity\":{\"cpu\":" + std::to_string(options_.milliCores)
+    return "{\"service\":\"tanim\",\"address\":\"" + address_ + "\",\"zone\":\"" + options_.domain + "\",\"state\":\""
+        + state + "\",\"capacity\":{\"cpu\":" + std::to_string(options_.milliCores)
         + ",\"memory_limit_mb\":131072},\"labels\":[\"a\",\"r1-1\"],\"born\":" + std::to_string(bornMs_) + "}";
 }
 
@@ -83,7 +86,8 @@
 
 std::int64_t OperatorUpstream::clockMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
 }
 
 void OperatorUpstream::extendLease(std::int64_t untilMs)
@@ -128,7 +132,8 @@
     for (const auto& [name, run] : runs_)
         used += run.milliCores;
     if (used > options_.milliCores)
-        registry_.violations.push_back("capacity: " + options_.id + " runs " + std::to_string(used) + " of " + std::to_string(options_.milliCores));
+        registry_.violations.push_back("capacity: " + options_.id + " runs " + std::to_string(used) + " of "
+            + std::to_string(options_.milliCores));
     if (++registry_.running[task] > 1)
         registry_.violations.push_back("two runs at the same time: " + task);
     ++registry_.starts;
@@ -219,7 +224,8 @@
             --lostAnswers_;
             return;
         }
-        exchange->respond({ .status = reason.empty() ? 200U : 409U, .fields = {}, .body = withClock(clockMs(), reason) });
+        exchange->respond(
+            { .status = reason.empty() ? 200U : 409U, .fields = {}, .body = withClock(clockMs(), reason) });
         return;
     }
     rapidjson::Document body;
--- a/tests/integration/support/Process.h
+++ b/tests/integration/support/Process.h
@@ -23,7 +23,8 @@
     bool outputToLog { false };
 };
 
-/// A child process of the test. Its standard error goes to integration-logs/<name>.log in the build tree; it is killed with the object.
+/// A child process of the test. Its standard error goes to integration-logs/<name>.log in the build tree; it is killed
+/// with the object.
 class Process {
 public:
     /// Starts the program and waits for its ready line on standard output; throws with the log's end if there is none.
--- /dev/null
+++ b/tests/platform/ExplanationTests.cpp
@@ -0,0 +1,109 @@
+#include "Fleet.h"
+
+#include "balsammill/observe/RequestStory.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <thread>
+
+using namespace PlatformTest;
+using namespace IntegrationTest;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> logLines(const Fleet& fleet)
+{
+    std::vector<std::string> lines;
+    for (const auto& path : fleet.logFiles()) {
+        std::ifstream file(path);
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(line);
+    }
+    return lines;
+}
+
+std::string joined(const std::vector<std::string>& lines)
+{
+    std::string text;
+    for (const auto& line : lines)
+        text += line + "\n";
+    return text;
+}
+
+// The story once it holds an event of that name about the request; the logs are written with a delay.
+std::string storyWith(const Fleet& fleet, const std::string& id, const std::string& event)
+{
+    std::string story;
+    waitUntil(in(10s), [&] {
+        story = joined(Balsammill::requestStory(logLines(fleet), { .subject = id }));
+        return story.find("event=" + event) != std::string::npos;
+    });
+    return story;
+}
+
+} // namespace
+
+// Guards against a refusal that nobody can explain afterwards.
+TEST_CASE("The logs tell why a request was refused under overload [explain]")
+{
+    Fleet fleet({ .name = "explain-refused", .entriesPerDomain = 1, .upstreamsPerDomain = 1, .runMs = 3'000 });
+    REQUIRE(fleet.waitUntilReady());
+    std::this_thread::sleep_for(500ms);
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 3; ++i)
+        clients.emplace_back([&fleet, i] { fleet.submit(0, "00000000000000a" + std::to_string(i), 3); });
+    CHECK(waitUntil(in(10s), [&] { return fleet.starts() >= 3; }));
+    ClientAnswer answer;
+    const std::string id = "00000000000000ff";
+    CHECK(waitUntil(in(10s), [&] {
+        answer = fleet.submit(0, id, 30);
+        return answer.status == 429;
+    }));
+    CHECK_NE(answer.retryAfter, "");
+    for (auto& client : clients)
+        client.join();
+    const auto story = storyWith(fleet, id, "job.refused");
+    CHECK_NE(story.find("event=job.refused id=" + id), std::string::npos);
+    CHECK_NE(story.find("usable_upstreams=1"), std::string::npos);
+    CHECK_NE(story.find("late_by_ms="), std::string::npos);
+}
+
+// Guards against a late or doubtful answer whose cause, the loss of the owner, is not in the logs.
+TEST_CASE("The logs tell that a request was in doubt because its owner was lost [explain]")
+{
+    Fleet fleet({ .name = "explain-owner", .runMs = 1'500 });
+    REQUIRE(fleet.waitUntilReady());
+    const auto owner = fleet.ownerOf("valencia");
+    REQUIRE_LT(owner, fleet.entryCount());
+    const auto other = 1 - owner;
+    const std::string id = "00000000000000e1";
+    ClientAnswer answer;
+    std::thread client([&] { answer = fleet.submit(other, id, 1); });
+    CHECK(waitUntil(in(10s), [&] { return fleet.starts() >= 1; }));
+    fleet.entry(owner).kill();
+    client.join();
+    CHECK_EQ(answer.status, 502);
+    CHECK(waitUntil(in(10s), [&] { return fleet.ownerOf("valencia") == other; }));
+    const auto story = storyWith(fleet, id, "shard.gained");
+    CHECK_NE(story.find("event=job.owner_lost id=" + id), std::string::npos);
+    CHECK_NE(story.find("event=peer.lost peer=valencia" + std::to_string(owner)), std::string::npos);
+    CHECK_NE(story.find("event=shard.gained shard=valencia/0"), std::string::npos);
+}
+
+// Guards against a failed job whose failing upstream is not named.
+TEST_CASE("The logs tell on which upstreams the tasks of a failed job failed [explain]")
+{
+    Fleet fleet({ .name = "explain-failed", .entriesPerDomain = 1 });
+    REQUIRE(fleet.waitUntilReady());
+    for (std::size_t i = 0; i < fleet.upstreamCount(); ++i)
+        fleet.upstream(i).setFailing(true);
+    const std::string id = "00000000000000f1";
+    const auto answer = fleet.submit(0, id, 1);
+    CHECK_EQ(answer.body, R"({"state":"failed"})");
+    const auto story = storyWith(fleet, id, "job.ended");
+    CHECK_NE(story.find("event=task.failed id=" + id + " index=0 run=1 upstream=i-valencia"), std::string::npos);
+    CHECK_NE(story.find("failures=3 allowed=3"), std::string::npos);
+    CHECK_NE(story.find("result=failed"), std::string::npos);
+}
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -58,26 +58,31 @@
     for (const auto& domain : options.domains) {
         for (int i = 0; i < options.upstreamsPerDomain; ++i) {
             upstreams_.push_back(std::make_unique<Standin::OperatorUpstream>(loop_, registry_,
-                Standin::OperatorUpstream::Options {
-                    .id = "i-" + domain + std::to_string(i), .domain = domain, .milliCores = 32'000, .runMs = options.runMs }));
+                Standin::OperatorUpstream::Options { .id = "i-" + domain + std::to_string(i),
+                    .domain = domain,
+                    .milliCores = 32'000,
+                    .runMs = options.runMs }));
             store_->put("servers", upstreams_.back()->id(), upstreams_.back()->registration());
         }
         for (int i = 0; i < options.entriesPerDomain; ++i) {
             auto& ports = ports_.emplace_back();
             ports.firstPeer = findPortPair(nextPort);
-            const auto file = std::string(INTEGRATION_LOG_DIR) + "/" + options.name + "-" + domain + std::to_string(i) + ".toml";
+            const auto file
+                = std::string(INTEGRATION_LOG_DIR) + "/" + options.name + "-" + domain + std::to_string(i) + ".toml";
             std::filesystem::create_directories(INTEGRATION_LOG_DIR);
             std::ofstream text(file);
             text << "node_name = \"" << domain << i << "\"\nzone = \"" << domain << "\"\nip = \"127.0.0.1\"\n"
                  << "internal_port_range = [" << ports.firstPeer << ", " << ports.firstPeer + 1 << "]\n"
-                 << "[listen]\nfront = \"127.0.0.1:" << ports.client.number() << "\"\nready = \"127.0.0.1:"
-                 << ports.readiness.number() << "\"\n[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
+                 << "[listen]\nfront = \"127.0.0.1:" << ports.client.number()
+                 << "\"\nready = \"127.0.0.1:" << ports.readiness.number()
+                 << "\"\n[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
                  << "[platform]\naddress = \"" << store_->address() << "\"\n";
             settings_.push_back(file);
         }
     }
     for (std::size_t i = 0; i < settings_.size(); ++i) {
-        std::filesystem::remove(std::string(INTEGRATION_LOG_DIR) + "/" + options_.name + "-" + std::to_string(i) + ".log");
+        std::filesystem::remove(
+            std::string(INTEGRATION_LOG_DIR) + "/" + options_.name + "-" + std::to_string(i) + ".log");
         entries_.push_back(start(i));
     }
 }
@@ -86,11 +91,12 @@
 
 std::unique_ptr<IntegrationTest::Process> Fleet::start(std::size_t index) const
 {
-    return std::make_unique<IntegrationTest::Process>(IntegrationTest::ProcessOptions { .name = options_.name + "-" + std::to_string(index),
-        .program = BALSAMMILL_BINARY,
-        .arguments = { "node", "--settings", settings_[index], "--log-sample", "1" },
-        .environment = {},
-        .outputToLog = true });
+    return std::make_unique<IntegrationTest::Process>(
+        IntegrationTest::ProcessOptions { .name = options_.name + "-" + std::to_string(index),
+            .program = BALSAMMILL_BINARY,
+            .arguments = { "node", "--settings", settings_[index], "--log-sample", "1" },
+            .environment = {},
+            .outputToLog = true });
 }
 
 void Fleet::restart(std::size_t entry)
@@ -102,7 +108,8 @@
 void Fleet::configure(int version, const std::string& prefix)
 {
     store_->put("op", "config",
-        R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"checks","host":")" + host + R"(","path_prefix":")" + prefix
+        R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"checks","host":")" + host
+            + R"(","path_prefix":")" + prefix
             + R"(","timeout_ms":5000,"target_duration_ms":2000,"priority":0,"service":"tanim","max_attempts":3,"stretch":4.0}],"services":[],"limits":{}})");
 }
 
@@ -131,8 +138,9 @@
 {
     const auto cores = std::to_string(milliCores);
     return request(entry, "POST", "/check/" + id,
-        R"({"task_spec":")" + cores + R"(","best_effort":true,"steps":[{"count":)" + std::to_string(tasks) + R"(,"cpu":)" + cores
-            + R"(,"memory_limit_mb":64,"estimated_ms":)" + std::to_string(options_.runMs) + "}]}");
+        R"({"task_spec":")" + cores + R"(","best_effort":true,"steps":[{"count":)" + std::to_string(tasks)
+            + R"(,"cpu":)" + cores + R"(,"memory_limit_mb":64,"estimated_ms":)" + std::to_string(options_.runMs)
+            + "}]}");
 }
 
 ClientAnswer Fleet::submitUntilAnswered(std::size_t entry, const std::string& id, int tasks, int milliCores) const
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -38,8 +38,10 @@
     /// Submits a job of tasks that use milliCores each, and waits for its end.
     ClientAnswer submit(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
     /// As a client does: sends the job again after a broken connection or an answer in doubt, to the next entry.
-    ClientAnswer submitUntilAnswered(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
-    ClientAnswer request(std::size_t entry, const std::string& method, const std::string& path, const std::string& body) const;
+    ClientAnswer submitUntilAnswered(
+        std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
+    ClientAnswer request(
+        std::size_t entry, const std::string& method, const std::string& path, const std::string& body) const;
     std::string metrics(std::size_t entry) const;
     void configure(int version, const std::string& prefix = "/check/");
 
--- a/tests/platform/NodeFailureTests.cpp
+++ b/tests/platform/NodeFailureTests.cpp
@@ -29,7 +29,8 @@
                     const auto id = jobId(client * 100'000 + i + 1);
                     const auto entry = static_cast<std::size_t>(client + i) % fleet.entryCount();
                     const auto answer = fleet.submitUntilAnswered(entry, id, 2);
-                    ++(answer.status == 200 && answer.body.find("completed") != std::string::npos ? completed : notCompleted);
+                    ++(answer.status == 200 && answer.body.find("completed") != std::string::npos ? completed
+                                                                                                  : notCompleted);
                 }
             });
         }
