Never report a request as not sent once it was handed to the socket

Cause: a slow event loop can reach a request's timeout before it learns that the system has sent it; the start was then placed elsewhere while the upstream ran it.

Change: a request counts as not sent only while its connection is not established.

--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -56,6 +56,7 @@
         text_ = std::move(text);
         callback_ = std::move(callback);
         bytesWritten_ = 0;
+        sendBegun_ = false;
         parser_.emplace();
         parser_->body_limit(maxResponseBytes);
         timer_.expires_at(deadline);
@@ -106,6 +107,7 @@
 private:
     void write()
     {
+        sendBegun_ = true;
         socket_.async_send(asio::buffer(text_.data() + bytesWritten_, text_.size() - bytesWritten_),
             [self = shared_from_this()](error_code error, std::size_t count) {
                 if (!self->callback_)
@@ -186,7 +188,7 @@
         if (const auto owner = owner_.lock())
             (*owner)->release(shared_from_this());
         if (callback)
-            callback({ .response = std::nullopt, .neverSent = bytesWritten_ == 0, .error = std::move(reason) });
+            callback({ .response = std::nullopt, .neverSent = !sendBegun_, .error = std::move(reason) });
     }
 
     asio::ip::tcp::socket socket_;
@@ -194,6 +196,8 @@
     std::weak_ptr<HttpClient*> owner_;
     std::string text_;
     std::size_t bytesWritten_ { 0 };
+    // From here on the system may have sent bytes, even if the event loop has not been told of it yet.
+    bool sendBegun_ { false };
     HttpCallback callback_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::array<char, readBlockBytes> block_;
