--- a/apps/balsammill/CheckCommand.cpp
+++ b/apps/balsammill/CheckCommand.cpp
@@ -4,6 +4,7 @@
 
 #include "balsammill/config/ConfigStore.h"
 #include "balsammill/v1/config.pb.h"
+#include "platform/SettingsFile.h"
 
 #include <CLI/CLI.hpp>
 
@@ -18,13 +19,14 @@
     std::string config;
     std::string schemaRoot { "." };
     bool settings { false };
+    std::string nodeSettings;
     EntryFlags entry;
 };
 
 int check(const CheckFlags& flags)
 {
-    if (flags.config.empty() && !flags.settings)
-        throw SettingsError("nothing to check: give --config, --settings or both");
+    if (flags.config.empty() && !flags.settings && flags.nodeSettings.empty())
+        throw SettingsError("nothing to check: give --config, --settings or --node-settings");
     if (!flags.config.empty()) {
         // Prepared as the first version, as an entry would do on "operator apply".
         ConfigStore().prepare(
@@ -35,6 +37,10 @@
         flags.entry.toOptions();
         std::cout << "settings: ok\n";
     }
+    if (!flags.nodeSettings.empty()) {
+        const auto settings = Platform::readSettingsFile(flags.nodeSettings);
+        std::cout << "settings of node " << settings.vm.value << " in " << settings.domain.value << ": ok\n";
+    }
     return 0;
 }
 
@@ -47,6 +53,8 @@
     command->add_option("--config", flags->config, "Declaration of the deployment (JSON)");
     command->add_option("--schema-root", flags->schemaRoot, "Folder of the schema files")->capture_default_str();
     command->add_flag("--settings", flags->settings, "Check the flags and environment variables of serve");
+    command->add_option(
+        "--node-settings", flags->nodeSettings, "Settings file (TOML) of an entry on the operators' platform");
     flags->entry.addTo(*command);
     command->callback([flags, &action] { action = [flags] { return check(*flags); }; });
 }
--- a/libs/node/src/JobFront.cpp
+++ b/libs/node/src/JobFront.cpp
@@ -17,8 +17,6 @@
 // Waiting for room and for the answer.
 constexpr Duration answerMargin = std::chrono::milliseconds(400);
 
-double toMs(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
-
 } // namespace
 
 JobFront::JobFront(NodeContext& context, JobClient& jobs)
--- a/libs/node/src/NodeContext.h
+++ b/libs/node/src/NodeContext.h
@@ -9,6 +9,9 @@
 
 namespace Balsammill {
 
+/// For logs and metrics.
+inline double toMs(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
+
 /// What every part of an entry uses. The settings may be replaced while the entry runs.
 struct NodeContext {
     boost::asio::io_context& loop;
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ShardOwnership.cpp
@@ -1,5 +1,6 @@
 #include "ShardOwnership.h"
 
+#include "balsammill/base/StableHash.h"
 #include "balsammill/internal/shard.pb.h"
 #include "platform/Documents.h"
 #include "platform/Json.h"
@@ -29,14 +30,6 @@
 constexpr Duration predecessorPatience = std::chrono::milliseconds(1500);
 constexpr Duration recentOutage = std::chrono::seconds(5);
 
-std::uint64_t stableHash(std::string_view text)
-{
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const unsigned char c : text)
-        hash = (hash ^ c) * 1099511628211ULL;
-    return hash ^ (hash >> 29U);
-}
-
 } // namespace
 
 ShardOwnership::ShardOwnership(NodeContext& context, Platform::Store& store, PeerNetwork& peers,
--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -11,8 +11,6 @@
 // Reading the registrations, the first reports, and stopping what an earlier owner has left.
 constexpr Duration settlingTime = std::chrono::milliseconds(250);
 
-double toMs(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
-
 const char* nameOf(Shards::JobResult result)
 {
     switch (result) {
--- a/libs/node/src/UpstreamSession.cpp
+++ b/libs/node/src/UpstreamSession.cpp
@@ -29,7 +29,10 @@
 constexpr std::size_t reportConnections = 1;
 constexpr std::size_t orderConnections = 3;
 
-std::int64_t toMs(Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); }
+std::int64_t wholeMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
 
 } // namespace
 
@@ -54,7 +57,7 @@
 
 Platform::UpstreamClock UpstreamSession::clockAt(TimePoint now) const
 {
-    return Platform::UpstreamClock(clock_.value + toMs(now - clockReadAt_));
+    return Platform::UpstreamClock(clock_.value + wholeMs(now - clockReadAt_));
 }
 
 Platform::UpstreamClock UpstreamSession::grant(TimePoint now, Duration length)
@@ -62,7 +65,7 @@
     const auto real = Duration(static_cast<Duration::rep>(static_cast<double>(length.count()) / slowestClock));
     leaseOverAt_ = std::max(leaseOverAt_, now + real + expiryMargin + context_.settings.stopGrace);
     expiryReported_ = false;
-    return Platform::UpstreamClock(clockAt(now).value + toMs(length));
+    return Platform::UpstreamClock(clockAt(now).value + wholeMs(length));
 }
 
 bool UpstreamSession::noteAnswer(const HttpResult& result, TimePoint now)
--- a/libs/observe/src/StructuredLog.cpp
+++ b/libs/observe/src/StructuredLog.cpp
@@ -1,5 +1,7 @@
 #include "balsammill/observe/StructuredLog.h"
 
+#include "balsammill/base/StableHash.h"
+
 #include <poll.h>
 #include <unistd.h>
 
@@ -25,15 +27,6 @@
         .count();
 }
 
-// FNV-1a: the same in every process, unlike std::hash.
-std::uint64_t stableHash(std::string_view text)
-{
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const unsigned char c : text)
-        hash = (hash ^ c) * 1099511628211ULL;
-    return hash;
-}
-
 void appendValue(std::string& line, std::string_view value)
 {
     const bool plain = !value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos;
--- a/libs/routing/include/balsammill/routing/RoutingConfig.h
+++ b/libs/routing/include/balsammill/routing/RoutingConfig.h
@@ -27,6 +27,8 @@
     /// Part of the response time objective that does not depend on the work.
     Duration targetOverhead {};
     Duration timeout {};
+    /// A service outside of balsammill decides which upstreams may run a task.
+    bool placementAdvised { false };
 };
 
 /// Limits on what clients send.
--- a/libs/shards/tests/ShardOverloadTests.cpp
+++ b/libs/shards/tests/ShardOverloadTests.cpp
@@ -155,9 +155,10 @@
         load.offer(ms, options, real);
     }
     load.advanceTo(14'000);
-    for (const auto& [queue, outcome] : load.outcomes) {
+    for (const auto& entry : load.outcomes) {
+        const auto& outcome = entry.second;
         const int accepted = outcome.asked - outcome.refused;
-        INFO("queue ", queue, ": asked ", outcome.asked, ", refused ", outcome.refused, ", in objective ",
+        INFO("queue ", entry.first, ": asked ", outcome.asked, ", refused ", outcome.refused, ", in objective ",
             outcome.inObjective);
         CHECK_GT(outcome.inObjective * 2, accepted);
         CHECK_GT(accepted * 10, outcome.asked);
