Let upstreams in use follow their registration while a shard is handed over

Cause: found by reading: a former owner that still used an upstream ignored that it began to drain, and SIGHUP read the settings again only if their path was in the environment. Some constants had lost their comment.

Change: an upstream with a session follows its registration in any case; the settings' path is an option of the node; comments say where the figures come from.

--- a/apps/balsammill/NodeCommand.cpp
+++ b/apps/balsammill/NodeCommand.cpp
@@ -25,6 +25,7 @@
         ->envname("BALSAMMILL_LOG_LINES")
         ->check(CLI::Range(1U, 1'000'000U));
     command->callback([path, options, &action] {
+        options->settingsPath = *path;
         action = [path, options] {
             EntryNode node(Platform::readSettingsFile(*path), *options);
             return node.run();
--- a/libs/node/include/balsammill/node/EntryNode.h
+++ b/libs/node/include/balsammill/node/EntryNode.h
@@ -3,11 +3,14 @@
 #include "balsammill/routing/NodeSettings.h"
 
 #include <memory>
+#include <string>
 
 namespace Balsammill {
 
 /// How an entry reports what it does; the same on every platform.
 struct NodeOptions {
+    /// Read again on SIGHUP.
+    std::string settingsPath;
     /// Of how many requests one has its lines logged; failures are always logged.
     std::uint32_t logSampleOneIn { 16 };
     /// Log lines a second for each kind of event.
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -20,7 +20,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
-#include <cstdlib>
 #include <set>
 
 namespace Balsammill {
@@ -35,14 +34,15 @@
 constexpr Duration statusInterval = std::chrono::milliseconds(250);
 // The platform asks for readiness once a second and takes a node out after two misses.
 constexpr Duration rotationDelay = std::chrono::milliseconds(2500);
-// Part of the shutdown time that is left for the process to end.
+// Part of the shutdown time that is left for the process to end; two ticks and the last answers fit several times.
+constexpr Duration exitMargin = std::chrono::milliseconds(700);
 // Part of the shutdown time in which a shard that nobody took over is released.
 constexpr Duration releaseMargin = std::chrono::milliseconds(1200);
 // Renewals of the records are read in bundles.
 constexpr Duration shardRecordPause = std::chrono::milliseconds(30);
-constexpr Duration exitMargin = std::chrono::milliseconds(700);
 // How long a newer configuration that a peer has may come from the store before the peer is asked.
 constexpr Duration askPeerAfter = std::chrono::milliseconds(300);
+// The log writes each 100 ms.
 constexpr Duration flushTime = std::chrono::milliseconds(200);
 
 Incarnation newIncarnation()
@@ -55,6 +55,7 @@
 } // namespace
 
 struct EntryNode::Detail {
+    NodeOptions options;
     boost::asio::io_context loop { 1 };
     StructuredLog log;
     NodeMetrics metrics;
@@ -82,10 +83,11 @@
     bool exitNextTick { false };
     bool ready { false };
 
-    Detail(const NodeSettings& settings, const NodeOptions& options)
-        : log({ .vm = settings.vm.value,
-            .linesPerSecond = options.logLinesPerSecond,
-            .sampleOneIn = options.logSampleOneIn })
+    Detail(const NodeSettings& settings, const NodeOptions& nodeOptions)
+        : options(nodeOptions)
+        , log({ .vm = settings.vm.value,
+              .linesPerSecond = options.logLinesPerSecond,
+              .sampleOneIn = options.logSampleOneIn })
         , context { .loop = loop,
             .settings = settings,
             .incarnation = newIncarnation(),
@@ -393,11 +395,8 @@
 
     void reloadSettings()
     {
-        const char* path = std::getenv(Platform::settingsPathVariable);
-        if (path == nullptr)
-            return;
         try {
-            const auto fresh = Platform::readSettingsFile(path);
+            const auto fresh = Platform::readSettingsFile(options.settingsPath);
             // Addresses are bound already and keep their values until the process starts again.
             context.settings.processorShare = fresh.processorShare;
             context.settings.maxLease = fresh.maxLease;
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ShardOwnership.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
+// A store call costs as much as a few tasks; a lost owner is usually noticed by its connections.
 constexpr Duration renewInterval = std::chrono::milliseconds(1000);
+// The store answers within 10 ms; when it is slow, fifty times as long.
 constexpr Duration writeTimeout = std::chrono::milliseconds(1000);
 // After a write whose result is not known the record is read by the follower first.
 constexpr Duration retryAfterUnknown = std::chrono::milliseconds(300);
@@ -21,14 +23,14 @@
 constexpr std::size_t upstreamsPerShard = 24;
 // Registrations that lapsed in an outage are back within two seconds of its end, if the upstream lives.
 constexpr Duration registrationGrace = std::chrono::milliseconds(2500);
-// An outage this recent may be the reason why a registration vanished.
+// An outage this recent may be the reason why a registration vanished: three heartbeats and the grace.
+constexpr Duration recentOutage = std::chrono::seconds(5);
 // Changes of registrations are read in bundles; a leaving upstream gets no more work after this time and a read.
 constexpr Duration registrationPause = std::chrono::milliseconds(250);
 // An entry that was asked to take a shard over writes its claim within this time.
 constexpr Duration handOverPatience = std::chrono::milliseconds(400);
 // How long a new owner waits for word from the entry that handed the shard over.
 constexpr Duration predecessorPatience = std::chrono::milliseconds(1500);
-constexpr Duration recentOutage = std::chrono::seconds(5);
 
 } // namespace
 
@@ -47,7 +49,7 @@
 void ShardOwnership::followUpstreams()
 {
     // Registrations change with every heartbeat, so only owners read them, and entries that have to divide them.
-    const bool needed = !servers_.empty() || (records_.loaded() && !directory_.shardsPerDomain());
+    const bool needed = !ownsNothing() || (records_.loaded() && !directory_.shardsPerDomain());
     if (!needed) {
         upstreamRows_.reset();
         upstreams_.clear();
@@ -427,8 +429,11 @@
 
 void ShardOwnership::offerUpstream(const Shards::UpstreamInfo& info)
 {
-    if (auto* server = serverOf(shardOf(info)))
+    const auto name = shardOf(info);
+    if (auto* server = serverOf(name))
         server->updateUpstream(info);
+    if (const auto found = retiring_.find(name); found != retiring_.end())
+        found->second->updateUpstream(info);
 }
 
 void ShardOwnership::handleUpstreamRow(const Platform::Row& row)
--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -83,8 +83,9 @@
         sessions_.erase(found);
         engine_.handleLeaseExpired(info.id, now);
     }
+    // An upstream in use follows its registration in any case: a draining one must get no more tasks.
     const bool withheld = !predecessor_.vm.empty() && (!heldByPredecessor_ || heldByPredecessor_->contains(info.id));
-    if (withheld || retiring_)
+    if (!sessions_.contains(info.id) && (withheld || retiring_))
         return;
     openSession(info);
     progress();
--- a/libs/node/src/UpstreamSession.cpp
+++ b/libs/node/src/UpstreamSession.cpp
@@ -24,8 +24,10 @@
 constexpr Duration idleAcknowledgeDelay = std::chrono::milliseconds(250);
 // On top of the time that a stop takes, before its effect is looked at.
 constexpr Duration stopMargin = std::chrono::milliseconds(10);
+// Pause after a failed report; doubled up to the longest while the upstream does not answer.
 constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration longestRetryDelay = std::chrono::milliseconds(400);
+// A report waits on its connection; starts and stops go beside it, about as many at a time as tasks fit.
 constexpr std::size_t reportConnections = 1;
 constexpr std::size_t orderConnections = 3;
 
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-// First pause of an upstream that fails its tasks; doubled while it goes on failing.
+// First pause of an upstream that fails its tasks; doubled while it goes on failing. Disturbances of upstreams last 5
+// to 8 s, so a longer pause would outlast them.
 constexpr Duration firstSuspicion = std::chrono::seconds(1);
 constexpr Duration longestSuspicion = std::chrono::seconds(8);
-// A task is overdue after this many times its expected run time, by how well that is known, and a margin for delivery.
+// A task is overdue after this many times its expected run time, and a margin for delivery. Tasks of one step differ by
+// about 15 % and upstreams by 30 %; predictions are off by 40 %.
 constexpr double overdueFactorBySiblings = 2.0;
 constexpr double overdueFactorByModel = 3.0;
 constexpr Duration overdueMargin = std::chrono::milliseconds(60);
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 
-// Weight of the room that a task would leave unused on an upstream, against the upstream's slowness.
+// Weight of the room that a task would leave unused on an upstream, against the upstream's slowness: filling an
+// upstream is worth less than one that is half as fast again.
 constexpr double leftoverWeight = 0.5;
-// Added to an upstream's cost when the task's data is in another rack.
+// Added to an upstream's cost when the task's data is in another rack, where it takes up to twice as long.
 constexpr double otherRackCost = 1.0;
-// Added when the last run of the task failed there.
+// Added when the last run of the task failed there; more than any other cost, so it is the last resort.
 constexpr double failedBeforeCost = 10.0;
 
-// Work of a less urgent job counts this much less against a job that would make it late.
+// Work of a less urgent job counts this much less against a job that would make it late: callers of the most urgent
+// queue lose about two and a half times as much per core-second as those of the others.
 constexpr int lessUrgentDivisor = 3;
 
 std::int64_t placesOf(const Resources& room, const Resources& need)
