--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy git curl
     libpoco-dev libnng-dev libboost-dev libcli11-dev libeasyloggingpp-dev doctest-dev
-    libprotobuf-dev libprotoc-dev rapidjson-dev libtomlplusplus-dev librapidcheck-dev liburcu-dev libbenchmark-dev zlib1g-dev)
+    libprotobuf-dev libprotoc-dev rapidjson-dev libtomlplusplus-dev liburcu-dev libbenchmark-dev zlib1g-dev)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
