--- a/tests/integration/support/JobAnswers.cpp
+++ b/tests/integration/support/JobAnswers.cpp
@@ -5,7 +5,6 @@
 namespace IntegrationTest {
 
 using namespace std::chrono_literals;
-using Balsammill::Verdict;
 
 balsammill::v1::JobResult parseResult(const CallOutcome& outcome)
 {
