Offer queued tasks to other entries once an entry has no upstreams

Cause: a leaving entry hands its upstreams away, so its scheduler has no slots, and nothing ever took the queued tasks out again: Scheduler::takeForForwarding had no caller. They waited for their deadline ("deadline passed after 10001 ms in the queue").

Change: the dispatcher's timer offers such tasks to other entries every 50 ms, ends those that were forwarded here so that their sender takes them back, and queues a task that is given back without asking admission again. A task that no entry can take for 2 s is refused as not run.

--- a/libs/entry/src/DispatchWork.h
+++ b/libs/entry/src/DispatchWork.h
@@ -26,6 +26,8 @@
     /// An attempt may have run, so no later refusal may say not-run.
     bool mayHaveRun { false };
     VmName failedUpstream;
+    /// Until when the task waits for an entry with upstreams; the epoch while this one has some.
+    TimePoint strandedUntil {};
 };
 
 TaskSpec specOf(const DispatchWork&);
--- a/libs/entry/src/DispatcherCore.cpp
+++ b/libs/entry/src/DispatcherCore.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr Duration minTimerSleep = std::chrono::milliseconds(1);
+// Heartbeats tell the load of other entries each 200 ms, so a refused offer may succeed soon after.
+constexpr Duration offerInterval = std::chrono::milliseconds(50);
+// Upstreams change hands within a few heartbeats; after this time there is none to be had.
+constexpr Duration strandedPatience = std::chrono::seconds(2);
 
 RpcErrorDetails failure(ErrorCode code, std::string message, Verdict verdict)
 {
@@ -149,7 +153,7 @@
             return;
         const auto now = monotonicNow();
         if (mayTakeBack(result) && now < work->task.deadline)
-            enqueue(work, now, completed);
+            takeBack(work, now, completed);
         else
             end(work, std::move(result), now, completed);
     }
@@ -174,18 +178,34 @@
     pump(target, now);
 }
 
+void DispatcherCore::takeBack(const WorkPtr& work, TimePoint now, CompletedList& completed)
+{
+    if (stopping_) {
+        end(work, failure(ErrorCode::Unavailable, "the process is stopping", Verdict::NotRun), now, completed);
+        return;
+    }
+    auto& target = service(work->task.service);
+    // The task was accepted before, so a lack of upstreams is no reason to refuse it at once.
+    work->state = WorkState::Queued;
+    target.scheduler.requeue(specOf(*work), now);
+    pump(target, now);
+}
+
 void DispatcherCore::pump(Service& target, TimePoint now)
 {
     while (const auto assignment = target.scheduler.nextAssignment(now)) {
         const auto& work = work_.at(assignment->task);
         work->state = WorkState::Running;
         work->startedAt = now;
+        work->strandedUntil = {};
         ++work->attempts;
         executors_.post([this, work, vm = assignment->upstream, address = target.addresses.at(assignment->upstream)] {
             run(work, vm, address);
         });
     }
-    const auto wakeUp = target.scheduler.nextWakeUp();
+    auto wakeUp = target.scheduler.nextWakeUp();
+    if (hasStranded(target, now))
+        wakeUp = std::min(wakeUp.value_or(TimePoint::max()), std::max(offerAt_, now));
     if (wakeUp && (!timerDue_ || *wakeUp < *timerDue_)) {
         timerDue_ = wakeUp;
         timerChanged_.notify_one();
@@ -287,6 +307,46 @@
     }
 }
 
+bool DispatcherCore::hasStranded(const Service& target, TimePoint now) const
+{
+    const auto load = target.scheduler.load(now);
+    return forwarder_ && load.totalSlots == 0 && load.queuedTasks > 0;
+}
+
+std::vector<WorkPtr> DispatcherCore::takeStranded(Service& target, TimePoint now, CompletedList& completed)
+{
+    std::vector<WorkPtr> stranded;
+    if (now < offerAt_ || !hasStranded(target, now))
+        return stranded;
+    while (const auto id = target.scheduler.takeForForwarding(now)) {
+        const auto work = work_.at(*id);
+        if (work->strandedUntil == TimePoint {})
+            work->strandedUntil = now + strandedPatience;
+        if (!work->task.mayForward || now >= work->strandedUntil) {
+            end(work, failure(ErrorCode::Unavailable, "this entry has no upstream for the task", Verdict::NotRun), now,
+                completed);
+            continue;
+        }
+        work->state = WorkState::Forwarded;
+        stranded.push_back(work);
+    }
+    return stranded;
+}
+
+void DispatcherCore::forwardStranded(
+    const std::vector<WorkPtr>& stranded, const TaskForwarder& forwarder, CompletedList& completed)
+{
+    for (const auto& work : stranded) {
+        if (forward(work, forwarder))
+            continue;
+        std::lock_guard lock(mutex_);
+        // stop() may have ended the task while it was offered.
+        if (work->state != WorkState::Forwarded)
+            continue;
+        takeBack(work, monotonicNow(), completed);
+    }
+}
+
 void DispatcherCore::runTimer()
 {
     std::unique_lock lock(mutex_);
@@ -295,12 +355,19 @@
         CompletedList completed;
         completed.swap(cancelled_);
         timerDue_.reset();
+        std::vector<WorkPtr> stranded;
         for (auto& [name, target] : services_) {
             expire(target, now, completed);
             pump(target, now);
+            const auto taken = takeStranded(target, now, completed);
+            stranded.insert(stranded.end(), taken.begin(), taken.end());
         }
-        if (!completed.empty()) {
+        if (!stranded.empty() || !completed.empty()) {
+            if (!stranded.empty())
+                offerAt_ = now + offerInterval;
+            const auto forwarder = forwarder_;
             lock.unlock();
+            forwardStranded(stranded, forwarder, completed);
             complete(std::move(completed));
             lock.lock();
             continue;
--- a/libs/entry/src/DispatcherCore.h
+++ b/libs/entry/src/DispatcherCore.h
@@ -61,15 +61,23 @@
     // These expect the mutex to be held.
     Service& service(const ServiceName&);
     void enqueue(const WorkPtr&, TimePoint now, CompletedList&);
+    /// Queues a task that another entry gave back.
+    void takeBack(const WorkPtr&, TimePoint now, CompletedList&);
     /// Starts what can start, and wakes the timer thread if it has to look earlier than it planned.
     void pump(Service&, TimePoint now);
     void end(const WorkPtr&, DispatchResult, TimePoint now, CompletedList&);
     void expire(Service&, TimePoint now, CompletedList&);
     void endAllThatDoNotRun(TimePoint now, CompletedList&);
+    /// True if tasks wait although this entry has no upstream for them, as after its upstreams went to other entries.
+    bool hasStranded(const Service&, TimePoint now) const;
+    /// Takes the queued tasks of a service that has lost its upstreams: those that may be forwarded are returned, the
+    /// others are ended so that their sender takes them back.
+    std::vector<WorkPtr> takeStranded(Service&, TimePoint now, CompletedList&);
     void afterExchange(const WorkPtr&, const VmName&, ExchangeResult, TimePoint now, CompletedList&);
 
     // These expect it not to be held.
     bool forward(const WorkPtr&, const TaskForwarder&);
+    void forwardStranded(const std::vector<WorkPtr>&, const TaskForwarder&, CompletedList&);
     void forwardEnded(const WorkPtr&, DispatchResult);
     void run(const WorkPtr&, const VmName&, const NetworkAddress&);
     ExchangeResult exchange(const DispatchWork&, const NetworkAddress&);
@@ -91,6 +99,8 @@
     /// Completions of cancelled tasks; the timer thread calls them, because cancel() may be called under a lock.
     CompletedList cancelled_;
     std::optional<TimePoint> timerDue_;
+    // When stranded tasks are offered to other entries again.
+    TimePoint offerAt_ {};
     std::uint64_t lastTaskId_ { 0 };
     std::size_t unfinished_ { 0 };
     bool stopping_ { false };
--- a/libs/entry/tests/DispatcherTests.cpp
+++ b/libs/entry/tests/DispatcherTests.cpp
@@ -215,6 +215,60 @@
         CHECK(fixture.results.completionsOf(name) == 1);
 }
 
+// Guards against tasks that wait for their deadline in an entry process whose upstreams went to others, as at its stop.
+TEST_CASE("Queued tasks go to other entry processes once no upstream is left")
+{
+    Fixture fixture;
+    std::mutex mutex;
+    bool othersHaveRoom = false;
+    std::map<std::string, DispatchCompletion> forwarded;
+    fixture.dispatcher.setForwarder([&](const DispatchTask& task, DispatchCompletion completion) {
+        std::lock_guard lock(mutex);
+        if (!othersHaveRoom)
+            return false;
+        forwarded.emplace(task.taskName, std::move(completion));
+        return true;
+    });
+    const auto forwardedCount = [&] {
+        std::lock_guard lock(mutex);
+        return forwarded.size();
+    };
+    fixture.use({ fixture.a.reachable(1) });
+    fixture.a.hold();
+    fixture.submit(callNamed("running"));
+    REQUIRE(fixture.a.waitUntilRunning(1));
+    auto fromElsewhere = callNamed("from elsewhere");
+    fromElsewhere.mayForward = false;
+    for (const auto& task : { callNamed("first"), callNamed("second"), fromElsewhere })
+        fixture.submit(task);
+    fixture.use({});
+    // An entry process that this one cannot give to gives the task back to the sender.
+    const auto deadline = inSeconds(10);
+    while (fixture.results.completionsOf("from elsewhere") == 0 && monotonicNow() < deadline)
+        std::this_thread::sleep_for(1ms);
+    REQUIRE(fixture.results.completionsOf("from elsewhere") == 1);
+    CHECK(fixture.results.errorOf("from elsewhere").code == ErrorCode::Unavailable);
+    CHECK(fixture.results.errorOf("from elsewhere").verdict == Verdict::NotRun);
+    CHECK(forwardedCount() == 0);
+    {
+        std::lock_guard lock(mutex);
+        othersHaveRoom = true;
+    }
+    while (forwardedCount() < 2 && monotonicNow() < deadline)
+        std::this_thread::sleep_for(1ms);
+    REQUIRE(forwardedCount() == 2);
+    forwarded["first"](DispatchAnswer { .answer = "from a peer" });
+    forwarded["second"](DispatchAnswer { .answer = "from a peer" });
+    fixture.a.release();
+    fixture.waitUntilIdle();
+    for (const auto* name : { "first", "second" }) {
+        CHECK(fixture.results.answerOf(name) == "from a peer");
+        CHECK(fixture.results.completionsOf(name) == 1);
+    }
+    CHECK(fixture.results.answerOf("running") == "answer to running");
+    CHECK(fixture.a.starts() == 1);
+}
+
 // Guards against a stop that cuts off running tasks or leaves queued ones without an answer.
 TEST_CASE("A stop lets running tasks finish and refuses the others")
 {
--- a/tests/integration/EntryStopTests.cpp
+++ b/tests/integration/EntryStopTests.cpp
@@ -31,7 +31,8 @@
     CHECK_MESSAGE(*status == 0, stopped.process->logTail());
     for (const auto& outcome : callOutcomes)
         CHECK_MESSAGE(outcome.ok, outcome.error.message);
-    CHECK(parseResult(jobOutcome).state() == balsammill::v1::JOB_STATE_COMPLETE);
+    CHECK_MESSAGE(
+        parseResult(jobOutcome).state() == balsammill::v1::JOB_STATE_COMPLETE, parseResult(jobOutcome).error_message());
     const auto again = parseResult(submitUntilAnswered(deployment, deployment.entries()[1], job));
     CHECK(again.state() == balsammill::v1::JOB_STATE_COMPLETE);
     CHECK(deployment.repeatedStarts() == "");
