--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -54,6 +54,13 @@
 
 } // namespace
 
+// Upstreams of a shard that this entry has handed over: those that it still uses, and those on which durable jobs went
+// on at that moment.
+struct RetiredUpstreams {
+    std::vector<Shards::UpstreamId> held {};
+    std::set<Shards::UpstreamId> left {};
+};
+
 struct EntryNode::Detail {
     NodeOptions options;
     boost::asio::io_context loop { 1 };
@@ -76,7 +83,7 @@
     std::shared_ptr<const QueueTable> queues;
     std::string configDocument;
     TimePoint configBehindSince {};
-    std::set<Shards::ShardName> everRetired;
+    std::map<Shards::ShardName, RetiredUpstreams> everRetired;
     TimePoint statusAt {};
     TimePoint drainingSince {};
     bool draining { false };
@@ -187,6 +194,8 @@
     {
         if (message.has_submit())
             handleSubmit(from, message.submit());
+        else if (message.has_query())
+            handleQuery(from, message.query());
         else if (message.has_answer())
             jobs.handleAnswer(message.answer());
         else if (message.has_cancel())
@@ -204,46 +213,39 @@
 
     void handleSubmit(PeerLink& from, const balsammill::internal::SubmitShardJob& submit)
     {
-        const auto number = submit.submission();
-        const auto respond = [link = from.weak_from_this(), number](const OwnerAnswer& answer) {
-            const auto target = link.lock();
-            if (!target)
-                return;
-            balsammill::internal::ShardPeerMessage message;
-            auto* out = message.mutable_answer();
-            out->set_submission(number);
-            out->set_result(encodeResult(answer.kind));
-            out->set_retry_after_us(answer.retryAfter.count());
-            out->set_redirect_shard(answer.redirect.value);
-            target->send(message);
-        };
+        const auto respond = responder(from, submit.submission());
         auto* server = ownership.serverOf(Shards::ShardName(submit.shard()));
         if (server == nullptr) {
-            respond({ .kind = OwnerAnswer::Kind::NotOwner, .retryAfter = {}, .redirect = {} });
+            respond({ .kind = OwnerAnswer::Kind::NotOwner });
             return;
         }
-        server->submit({ .link = &from, .number = number }, decodeJob(submit.job()), Duration(submit.age_us()),
-            Duration(submit.patience_us()), submit.may_redirect(), respond);
+        server->submit({ .link = &from, .number = submit.submission() }, decodeJob(submit.job()),
+            Duration(submit.age_us()), Duration(submit.patience_us()), submit.may_redirect(), respond);
     }
 
-    static balsammill::internal::ShardJobAnswer::Result encodeResult(OwnerAnswer::Kind kind)
+    void handleQuery(PeerLink& from, const balsammill::internal::QueryShardJob& query)
     {
-        using Message = balsammill::internal::ShardJobAnswer;
-        switch (kind) {
-        case OwnerAnswer::Kind::Completed:
-            return Message::COMPLETED;
-        case OwnerAnswer::Kind::Failed:
-            return Message::FAILED;
-        case OwnerAnswer::Kind::Refused:
-            return Message::REFUSED;
-        case OwnerAnswer::Kind::Redirected:
-            return Message::REDIRECTED;
-        case OwnerAnswer::Kind::NotOwner:
-            return Message::NOT_OWNER;
-        case OwnerAnswer::Kind::InDoubt:
-            break;
-        }
-        return Message::IN_DOUBT;
+        const auto respond = responder(from, query.submission());
+        auto* server = ownership.serverOf(Shards::ShardName(query.shard()));
+        if (server == nullptr)
+            respond({ .kind = OwnerAnswer::Kind::NotOwner });
+        else if (query.cancel())
+            server->cancelJob(JobId(query.job()), respond);
+        else
+            server->query(JobId(query.job()), respond);
+    }
+
+    static OwnerAnswerCallback responder(PeerLink& from, std::uint64_t number)
+    {
+        return [link = from.weak_from_this(), number](const OwnerAnswer& answer) {
+            const auto target = link.lock();
+            if (!target)
+                return;
+            balsammill::internal::ShardPeerMessage message;
+            encodeAnswer(answer, *message.mutable_answer());
+            message.mutable_answer()->set_submission(number);
+            target->send(message);
+        };
     }
 
     void handleStatus(PeerLink& from, const balsammill::internal::OwnerStatus& status)
@@ -254,11 +256,23 @@
             std::set<Shards::UpstreamId> held;
             for (const auto& upstream : shard.held_upstreams())
                 held.insert(Shards::UpstreamId(upstream));
-            ownership.handleRetiring(from.peer(), Shards::ShardName(shard.shard()), held);
+            std::set<Shards::UpstreamId> left;
+            for (const auto& upstream : shard.left_upstreams())
+                left.insert(Shards::UpstreamId(upstream));
+            ownership.handleRetiring(from.peer(), Shards::ShardName(shard.shard()), held, left);
+        }
+        for (const auto& shard : status.shards()) {
+            ShardStatus noted { .freeMilliCores = shard.free_milli_cores(),
+                .waitingJobs = shard.waiting_jobs(),
+                .epoch = Epoch(shard.epoch()),
+                .reportedAt = now };
+            if (shard.jobs_known()) {
+                auto& counts = noted.waitingByQueue.emplace();
+                for (const auto& row : shard.waiting_by_queue())
+                    counts[Shards::QueueName(row.queue())] = row.jobs();
+            }
+            directory.noteStatus(Shards::ShardName(shard.shard()), noted);
         }
-        for (const auto& shard : status.shards())
-            directory.noteStatus(Shards::ShardName(shard.shard()), Epoch(shard.epoch()),
-                { .freeMilliCores = shard.free_milli_cores(), .waitingJobs = shard.waiting_jobs(), .reportedAt = now });
         const auto known = queues ? queues->config().version.value : 0;
         if (status.config_version() <= known) {
             return;
@@ -303,36 +317,48 @@
         status->set_leaving(draining);
         for (const auto& [name, server] : ownership.servers()) {
             const auto load = server->load();
-            directory.noteStatus(name, server->epoch(),
-                { .freeMilliCores = load.freeMilliCores, .waitingJobs = load.waitingJobs, .reportedAt = now });
+            const auto waitingByQueue = server->waitingByQueue();
+            directory.noteStatus(name,
+                { .freeMilliCores = load.freeMilliCores,
+                    .waitingJobs = load.waitingJobs,
+                    .waitingByQueue = waitingByQueue,
+                    .epoch = server->epoch(),
+                    .reportedAt = now });
             auto* out = status->add_shards();
             out->set_shard(name.value);
             out->set_epoch(server->epoch().value);
             out->set_free_milli_cores(load.freeMilliCores);
             out->set_capacity_milli_cores(load.capacityMilliCores);
             out->set_waiting_jobs(load.waitingJobs);
+            out->set_jobs_known(waitingByQueue.has_value());
+            if (!waitingByQueue)
+                continue;
+            for (const auto& [queue, waiting] : *waitingByQueue) {
+                auto* row = out->add_waiting_by_queue();
+                row->set_queue(queue.value);
+                row->set_jobs(waiting);
+            }
         }
-        for (const auto& [name, held] : retiringShards()) {
+        for (const auto& [name, upstreams] : retiringShards()) {
             auto* out = status->add_retiring();
             out->set_shard(name.value);
-            for (const auto& id : held)
+            for (const auto& id : upstreams.held)
                 out->add_held_upstreams(id.value);
+            for (const auto& id : upstreams.left)
+                out->add_left_upstreams(id.value);
         }
         peers.sendToAll(message);
     }
 
-    // Shards that were handed over, with what is still held; those that are held no more are told for a while, because
-    // the new owner goes by the last word.
-    std::map<Shards::ShardName, std::vector<Shards::UpstreamId>> retiringShards()
+    // Shards that were handed over; those that are held no more are told for a while, because the new owner goes by the
+    // last word.
+    const std::map<Shards::ShardName, RetiredUpstreams>& retiringShards()
     {
-        std::map<Shards::ShardName, std::vector<Shards::UpstreamId>> shards;
-        for (const auto& name : everRetired)
-            shards[name] = {};
-        for (const auto& [name, server] : ownership.retiring()) {
-            everRetired.insert(name);
-            shards[name] = server->heldUpstreams();
-        }
-        return shards;
+        for (auto& [name, upstreams] : everRetired)
+            upstreams.held.clear();
+        for (const auto& [name, server] : ownership.retiring())
+            everRetired[name] = { .held = server->heldUpstreams(), .left = server->leftUpstreams() };
+        return everRetired;
     }
 
     void respondMetrics(HttpExchange& exchange)
--- a/libs/node/src/JobClient.cpp
+++ b/libs/node/src/JobClient.cpp
@@ -16,25 +16,8 @@
 constexpr unsigned maxAttempts = 4;
 // When no owner can be reached, one is found within the time that a takeover takes.
 constexpr Duration retryWithoutOwner = std::chrono::seconds(2);
-
-OwnerAnswer::Kind kindOf(balsammill::internal::ShardJobAnswer::Result result)
-{
-    using Message = balsammill::internal::ShardJobAnswer;
-    switch (result) {
-    case Message::COMPLETED:
-        return OwnerAnswer::Kind::Completed;
-    case Message::FAILED:
-        return OwnerAnswer::Kind::Failed;
-    case Message::REFUSED:
-        return OwnerAnswer::Kind::Refused;
-    case Message::REDIRECTED:
-        return OwnerAnswer::Kind::Redirected;
-    case Message::NOT_OWNER:
-        return OwnerAnswer::Kind::NotOwner;
-    default:
-        return OwnerAnswer::Kind::InDoubt;
-    }
-}
+// How long a request about a durable job waits for its shard to have an owner: a planned change of the owner fits.
+constexpr Duration homePatience = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -46,16 +29,45 @@
 {
 }
 
-RequestNumber JobClient::submit(Shards::JobSpec spec, TimePoint answerBy, JobAnswerCallback callback)
+RequestNumber JobClient::add(Request request)
 {
     const RequestNumber number { ++lastRequest_ };
-    requests_[number] = {
-        .spec = std::move(spec), .callback = std::move(callback), .arrivedAt = monotonicNow(), .answerBy = answerBy
-    };
+    request.arrivedAt = monotonicNow();
+    requests_[number] = std::move(request);
     dispatch(number);
     return number;
 }
 
+RequestNumber JobClient::submit(Shards::JobSpec spec, TimePoint answerBy, JobAnswerCallback callback)
+{
+    return add(
+        { .what = Submission { .spec = std::move(spec) }, .callback = std::move(callback), .answerBy = answerBy });
+}
+
+RequestNumber JobClient::query(const JobId& job, TimePoint answerBy, JobAnswerCallback callback)
+{
+    return add({ .what = Question { .job = job }, .callback = std::move(callback), .answerBy = answerBy });
+}
+
+RequestNumber JobClient::cancelJob(const JobId& job, TimePoint answerBy, JobAnswerCallback callback)
+{
+    return add(
+        { .what = Question { .job = job, .cancel = true }, .callback = std::move(callback), .answerBy = answerBy });
+}
+
+const JobId& JobClient::jobOf(const Request& request)
+{
+    if (const auto* submission = std::get_if<Submission>(&request.what))
+        return submission->spec.id;
+    return std::get<Question>(request.what).job;
+}
+
+bool JobClient::isHomed(const Request& request)
+{
+    const auto* submission = std::get_if<Submission>(&request.what);
+    return submission == nullptr || submission->spec.durable;
+}
+
 std::optional<JobClient::Target> JobClient::reach(const Shards::ShardName& name) const
 {
     if (auto* local = ownership_.serverOf(name))
@@ -95,6 +107,10 @@
 void JobClient::dispatch(RequestNumber number)
 {
     auto& request = requests_.at(number);
+    if (isHomed(request)) {
+        dispatchHome(number);
+        return;
+    }
     std::optional<Target> target;
     if (!request.shard.empty())
         target = reach(request.shard);
@@ -102,7 +118,7 @@
         target = choose(request);
     if (!target) {
         context_.log.event(
-            "job.no_owner", { { "id", request.spec.id.value }, { "attempts", std::uint64_t { request.attempts } } });
+            "job.no_owner", { { "id", jobOf(request).value }, { "attempts", std::uint64_t { request.attempts } } });
         context_.metrics.count("refused_without_owner");
         boost::asio::post(context_.loop, [this, number] {
             if (requests_.contains(number))
@@ -110,16 +126,49 @@
         });
         return;
     }
+    send(number, request, *target);
+}
+
+void JobClient::dispatchHome(RequestNumber number)
+{
+    auto& request = requests_.at(number);
+    const auto home = directory_.homeOf(jobOf(request), context_.settings.allDomains);
+    const auto target = home ? reach(*home) : std::nullopt;
+    if (target) {
+        request.parkedAt.reset();
+        send(number, request, *target);
+    } else {
+        park(request, monotonicNow());
+    }
+}
+
+void JobClient::park(Request& request, TimePoint now)
+{
+    if (!request.parkedAt)
+        request.parkedAt = now;
+}
+
+void JobClient::send(RequestNumber number, Request& request, const Target& target)
+{
     ++request.attempts;
-    request.shard = target->shard;
-    request.link = target->link;
+    request.shard = target.shard;
+    request.link = target.link;
+    if (const auto* submission = std::get_if<Submission>(&request.what))
+        sendSubmission(number, request, target, *submission);
+    else
+        sendQuestion(number, target, std::get<Question>(request.what));
+}
+
+void JobClient::sendSubmission(
+    RequestNumber number, Request& request, const Target& target, const Submission& submission)
+{
     const auto now = monotonicNow();
     const auto age = now - request.arrivedAt;
     const auto patience = request.answerBy == TimePoint::max()
         ? Duration::zero()
         : std::max<Duration>(request.answerBy - now, std::chrono::milliseconds(1));
-    if (target->local != nullptr) {
-        target->local->submit({ .link = nullptr, .number = number.value }, request.spec, age, patience,
+    if (target.local != nullptr) {
+        target.local->submit({ .link = nullptr, .number = number.value }, submission.spec, age, patience,
             !request.redirected, [this, number](const OwnerAnswer& result) {
                 boost::asio::post(context_.loop, [this, number, result] { handleOwnerAnswer(number, result); });
             });
@@ -128,12 +177,46 @@
     balsammill::internal::ShardPeerMessage message;
     auto* submit = message.mutable_submit();
     submit->set_submission(number.value);
-    submit->set_shard(target->shard.value);
-    encodeJob(request.spec, *submit->mutable_job());
+    submit->set_shard(target.shard.value);
+    encodeJob(submission.spec, *submit->mutable_job());
     submit->set_age_us(age.count());
     submit->set_may_redirect(!request.redirected);
     submit->set_patience_us(patience.count());
-    target->link->send(message);
+    target.link->send(message);
+}
+
+void JobClient::sendQuestion(RequestNumber number, const Target& target, const Question& question)
+{
+    if (target.local != nullptr) {
+        const auto respond = [this, number](const OwnerAnswer& result) {
+            boost::asio::post(context_.loop, [this, number, result] { handleOwnerAnswer(number, result); });
+        };
+        if (question.cancel)
+            target.local->cancelJob(question.job, respond);
+        else
+            target.local->query(question.job, respond);
+        return;
+    }
+    balsammill::internal::ShardPeerMessage message;
+    auto* query = message.mutable_query();
+    query->set_submission(number.value);
+    query->set_shard(target.shard.value);
+    query->set_job(question.job.value);
+    query->set_cancel(question.cancel);
+    target.link->send(message);
+}
+
+void JobClient::giveUp(RequestNumber number, const Request& request)
+{
+    context_.log.event("job.home_unreachable",
+        { { "id", jobOf(request).value }, { "attempts", std::uint64_t { request.attempts } },
+            { "in_doubt", request.inDoubt ? "yes" : "no" } });
+    context_.metrics.count("homes_unreachable");
+    const bool submission = std::holds_alternative<Submission>(request.what);
+    auto kind = JobAnswer::Kind::Unreachable;
+    if (submission)
+        kind = request.inDoubt ? JobAnswer::Kind::InDoubt : JobAnswer::Kind::Refused;
+    answer(number, { .kind = kind, .retryAfter = retryWithoutOwner });
 }
 
 void JobClient::cancel(RequestNumber number)
@@ -154,10 +237,7 @@
 
 void JobClient::handleAnswer(const balsammill::internal::ShardJobAnswer& message)
 {
-    handleOwnerAnswer(RequestNumber(message.submission()),
-        { .kind = kindOf(message.result()),
-            .retryAfter = Duration(message.retry_after_us()),
-            .redirect = Shards::ShardName(message.redirect_shard()) });
+    handleOwnerAnswer(RequestNumber(message.submission()), decodeAnswer(message));
 }
 
 void JobClient::handleOwnerAnswer(RequestNumber number, const OwnerAnswer& result)
@@ -168,16 +248,31 @@
     auto& request = found->second;
     switch (result.kind) {
     case OwnerAnswer::Kind::Completed:
-        answer(number, { .kind = JobAnswer::Kind::Completed, .retryAfter = {} });
+        answer(number, { .kind = JobAnswer::Kind::Completed });
         return;
     case OwnerAnswer::Kind::Failed:
-        answer(number, { .kind = JobAnswer::Kind::Failed, .retryAfter = {} });
+        answer(number, { .kind = JobAnswer::Kind::Failed });
         return;
     case OwnerAnswer::Kind::Refused:
         answer(number, { .kind = JobAnswer::Kind::Refused, .retryAfter = result.retryAfter });
         return;
+    case OwnerAnswer::Kind::Accepted:
+        answer(number, { .kind = JobAnswer::Kind::Accepted });
+        return;
+    case OwnerAnswer::Kind::Known:
+        answer(number, { .kind = JobAnswer::Kind::Known, .state = result.state });
+        return;
+    case OwnerAnswer::Kind::UnknownJob:
+        answer(number, { .kind = JobAnswer::Kind::UnknownJob });
+        return;
     case OwnerAnswer::Kind::InDoubt:
-        answer(number, { .kind = JobAnswer::Kind::InDoubt, .retryAfter = {} });
+        // The next owner knows whether a durable job was accepted, and accepts it once at most.
+        if (isHomed(request)) {
+            request.inDoubt = true;
+            park(request, monotonicNow());
+            return;
+        }
+        answer(number, { .kind = JobAnswer::Kind::InDoubt });
         return;
     case OwnerAnswer::Kind::Redirected:
         request.redirected = true;
@@ -186,6 +281,10 @@
         dispatch(number);
         return;
     case OwnerAnswer::Kind::NotOwner:
+        if (isHomed(request)) {
+            park(request, monotonicNow());
+            return;
+        }
         request.refusedBy.push_back(request.shard);
         request.shard = Shards::ShardName();
         dispatch(number);
@@ -209,10 +308,16 @@
             lost.push_back(number);
     }
     for (const auto number : lost) {
+        auto& request = requests_.at(number);
         context_.log.event("job.owner_lost",
-            { { "id", requests_.at(number).spec.id.value }, { "shard", requests_.at(number).shard.value },
-                { "peer", link.peer().vm.value } });
-        answer(number, { .kind = JobAnswer::Kind::InDoubt, .retryAfter = {} });
+            { { "id", jobOf(request).value }, { "shard", request.shard.value }, { "peer", link.peer().vm.value } });
+        request.link.reset();
+        if (!isHomed(request)) {
+            answer(number, { .kind = JobAnswer::Kind::InDoubt });
+            continue;
+        }
+        request.inDoubt = true;
+        park(request, monotonicNow());
     }
 }
 
@@ -224,7 +329,7 @@
     for (const auto number : open) {
         auto callback = std::move(requests_.at(number).callback);
         cancel(number);
-        callback({ .kind = JobAnswer::Kind::InDoubt, .retryAfter = {} });
+        callback({ .kind = JobAnswer::Kind::InDoubt });
     }
 }
 
@@ -234,6 +339,23 @@
         if (owner.vm != context_.settings.vm && !owner.released)
             peers_.linkTo(owner.address, now);
     }
+    std::vector<RequestNumber> parked;
+    for (const auto& [number, request] : requests_) {
+        if (request.parkedAt)
+            parked.push_back(number);
+    }
+    for (const auto number : parked) {
+        const auto& request = requests_.at(number);
+        if (now >= std::min(*request.parkedAt + homePatience, request.answerBy))
+            giveUp(number, request);
+        else
+            dispatchHome(number);
+    }
+}
+
+std::optional<std::uint32_t> JobClient::waitingJobs(const Shards::QueueName& queue) const
+{
+    return directory_.waitingJobs(queue, monotonicNow());
 }
 
 bool JobClient::canServe() const
--- a/libs/node/src/JobFront.cpp
+++ b/libs/node/src/JobFront.cpp
@@ -10,6 +10,8 @@
 // A node without a configuration gets one within this time, once the store answers.
 constexpr Duration retryWithoutConfiguration = std::chrono::seconds(1);
 
+// Owners tell their counts each 100 ms; a new owner has read its jobs within this time.
+constexpr Duration retryWithoutCount = std::chrono::seconds(1);
 // Other entries of the failure domain take the connections over at once.
 constexpr Duration retryWhileStopping = std::chrono::milliseconds(500);
 // Real run times of nearly all tasks are within this factor of the declared ones.
@@ -17,6 +19,52 @@
 // Waiting for room and for the answer.
 constexpr Duration answerMargin = std::chrono::milliseconds(400);
 
+const char* nameOf(JobAnswer::Kind kind)
+{
+    switch (kind) {
+    case JobAnswer::Kind::Completed:
+        return "completed";
+    case JobAnswer::Kind::Failed:
+        return "failed";
+    case JobAnswer::Kind::Refused:
+        return "refused";
+    case JobAnswer::Kind::InDoubt:
+        return "in_doubt";
+    case JobAnswer::Kind::Accepted:
+        return "accepted";
+    case JobAnswer::Kind::Known:
+        return "known";
+    case JobAnswer::Kind::UnknownJob:
+        return "unknown_job";
+    case JobAnswer::Kind::Unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
+HttpResponse responseTo(const JobAnswer& answer)
+{
+    switch (answer.kind) {
+    case JobAnswer::Kind::Completed:
+        return Platform::jobState(Shards::JobState::Completed);
+    case JobAnswer::Kind::Failed:
+        return Platform::jobState(Shards::JobState::Failed);
+    case JobAnswer::Kind::Refused:
+        return Platform::jobRefused(answer.retryAfter);
+    case JobAnswer::Kind::Accepted:
+        return Platform::jobState(Shards::JobState::Queued);
+    case JobAnswer::Kind::Known:
+        return Platform::jobState(answer.state);
+    case JobAnswer::Kind::UnknownJob:
+        return Platform::noSuchJob();
+    case JobAnswer::Kind::Unreachable:
+        return Platform::notServing(answer.retryAfter);
+    case JobAnswer::Kind::InDoubt:
+        break;
+    }
+    return Platform::jobInDoubt();
+}
+
 } // namespace
 
 JobFront::JobFront(NodeContext& context, JobClient& jobs)
@@ -31,9 +79,7 @@
 {
     if (!queues_) {
         context_.metrics.count("refused_without_configuration");
-        auto response = Platform::jobRefused(retryWithoutConfiguration);
-        response.status = 503;
-        exchange->respond(response);
+        exchange->respond(Platform::notServing(retryWithoutConfiguration));
         return;
     }
     const std::string path = request.target.substr(0, request.target.find('?'));
@@ -47,7 +93,8 @@
     const auto id = path.substr(queue->pathPrefix.size());
     if (request.method == "GET" && id.empty()) {
         // Jobs that are answered at their end wait for less than the time after which they would have to be counted.
-        exchange->respond(Platform::queueLength(0));
+        const auto waiting = jobs_.waitingJobs(queue->name);
+        exchange->respond(waiting ? Platform::queueLength(*waiting) : Platform::notServing(retryWithoutCount));
         return;
     }
     if (!Platform::isJobId(id)) {
@@ -57,7 +104,7 @@
     if (request.method == "POST")
         submit(*queue, id, request, exchange);
     else if (request.method == "GET" || request.method == "DELETE")
-        exchange->respond(Platform::noSuchJob());
+        ask(JobId(id), request.method == "DELETE", request, exchange);
     else
         exchange->respond(Platform::badRequest("method " + request.method + " is not supported"));
 }
@@ -88,43 +135,21 @@
     if (stopAt_ != TimePoint::max() && arrivedAt + declared * declaredTimeMargin + answerMargin > stopAt_) {
         context_.metrics.count("refused_while_stopping");
         context_.log.event("job.refused_while_stopping", { { "id", id } });
-        auto response = Platform::jobRefused(retryWhileStopping);
-        response.status = 503;
-        exchange->respond(response);
+        exchange->respond(Platform::notServing(retryWhileStopping));
         return;
     }
     if (context_.log.samples(id))
         context_.log.event("job.received", { { "id", id }, { "queue", queue.name.value } });
-    const auto patience = Platform::clientPatience(request);
-    const auto answerBy = patience ? arrivedAt + *patience : TimePoint::max();
-    const auto number = jobs_.submit(
-        std::move(submission.spec), answerBy, [this, exchange, id, queueLabel, arrivedAt](const JobAnswer& answer) {
+    const auto number = jobs_.submit(std::move(submission.spec), answerBy(request, arrivedAt),
+        [this, exchange, id, queueLabel, arrivedAt](const JobAnswer& answer) {
             const auto took = toMs(monotonicNow() - arrivedAt);
-            const char* outcome = "in_doubt";
-            HttpResponse response;
-            switch (answer.kind) {
-            case JobAnswer::Kind::Completed:
-                outcome = "completed";
-                response = Platform::jobEnded(true);
-                break;
-            case JobAnswer::Kind::Failed:
-                outcome = "failed";
-                response = Platform::jobEnded(false);
-                break;
-            case JobAnswer::Kind::Refused:
-                outcome = "refused";
-                response = Platform::jobRefused(answer.retryAfter);
-                break;
-            case JobAnswer::Kind::InDoubt:
-                response = Platform::jobInDoubt();
-                break;
-            }
-            context_.metrics.count("answers", queueLabel + ",outcome=\"" + outcome + "\"");
+            context_.metrics.count("answers", queueLabel + ",outcome=\"" + nameOf(answer.kind) + "\"");
             context_.metrics.observeMs("answer_time", queueLabel, took);
-            if (answer.kind != JobAnswer::Kind::Completed || context_.log.samples(id))
+            const bool good = answer.kind == JobAnswer::Kind::Completed || answer.kind == JobAnswer::Kind::Accepted;
+            if (!good || context_.log.samples(id))
                 context_.log.event("job.answered",
-                    { { "id", id }, { "outcome", outcome }, { "ms", static_cast<std::int64_t>(took) } });
-            exchange->respond(response);
+                    { { "id", id }, { "outcome", nameOf(answer.kind) }, { "ms", static_cast<std::int64_t>(took) } });
+            exchange->respond(responseTo(answer));
         });
     exchange->onAbandoned([this, number, id, arrivedAt] {
         context_.metrics.count("abandoned");
@@ -135,4 +160,27 @@
     });
 }
 
+TimePoint JobFront::answerBy(const HttpRequest& request, TimePoint arrivedAt)
+{
+    const auto patience = Platform::clientPatience(request);
+    return patience ? arrivedAt + *patience : TimePoint::max();
+}
+
+void JobFront::ask(
+    const JobId& id, bool cancel, const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto arrivedAt = monotonicNow();
+    const auto callback = [this, exchange, id, cancel](const JobAnswer& answer) {
+        context_.metrics.count(
+            cancel ? "cancellations" : "state_queries", std::string("outcome=\"") + nameOf(answer.kind) + "\"");
+        if (cancel || answer.kind == JobAnswer::Kind::Unreachable)
+            context_.log.event(cancel ? "job.cancel_answered" : "job.state_unavailable",
+                { { "id", id.value }, { "outcome", nameOf(answer.kind) } });
+        exchange->respond(responseTo(answer));
+    };
+    const auto number = cancel ? jobs_.cancelJob(id, answerBy(request, arrivedAt), callback)
+                               : jobs_.query(id, answerBy(request, arrivedAt), callback);
+    exchange->onAbandoned([this, number] { jobs_.cancel(number); });
+}
+
 } // namespace Balsammill
--- a/libs/node/src/JobFront.h
+++ b/libs/node/src/JobFront.h
@@ -23,6 +23,9 @@
 
 private:
     void submit(const QueueConfig&, const std::string& id, const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+    /// Asks for the state of a durable job, or cancels it.
+    void ask(const JobId&, bool cancel, const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+    static TimePoint answerBy(const HttpRequest&, TimePoint arrivedAt);
 
     NodeContext& context_;
     JobClient& jobs_;
--- a/libs/node/src/JobMessageCodec.cpp
+++ b/libs/node/src/JobMessageCodec.cpp
@@ -1,6 +1,7 @@
 #include "JobMessageCodec.h"
 
-#include "balsammill/internal/shard.pb.h"
+#include <array>
+#include <utility>
 
 namespace Balsammill {
 
@@ -14,6 +15,14 @@
     job.set_stretch(spec.stretch);
     job.set_target_overhead_us(spec.targetOverhead.count());
     job.set_payload(spec.payload);
+    job.set_durable(spec.durable);
+    job.set_long_running(spec.longRunning);
+    if (spec.schedule) {
+        auto* schedule = job.mutable_schedule();
+        schedule->set_count(spec.schedule->count);
+        schedule->set_first_run_unix_ms(spec.schedule->firstRunUnixMs);
+        schedule->set_interval_us(spec.schedule->interval.count());
+    }
     for (const auto& step : spec.steps) {
         auto* out = job.add_steps();
         out->set_count(step.count);
@@ -43,6 +52,12 @@
     spec.stretch = job.stretch();
     spec.targetOverhead = Duration(job.target_overhead_us());
     spec.payload = job.payload();
+    spec.durable = job.durable();
+    spec.longRunning = job.long_running();
+    if (job.has_schedule())
+        spec.schedule = Shards::RepeatSchedule { .count = job.schedule().count(),
+            .firstRunUnixMs = job.schedule().first_run_unix_ms(),
+            .interval = Duration(job.schedule().interval_us()) };
     for (const auto& in : job.steps()) {
         Shards::StepSpec step;
         step.count = in.count();
@@ -60,4 +75,83 @@
     return spec;
 }
 
+balsammill::internal::StoredJobState::State encodeJobState(Shards::JobState state)
+{
+    using Message = balsammill::internal::StoredJobState;
+    switch (state) {
+    case Shards::JobState::Queued:
+        return Message::QUEUED;
+    case Shards::JobState::Running:
+        return Message::RUNNING;
+    case Shards::JobState::Completed:
+        return Message::COMPLETED;
+    case Shards::JobState::Failed:
+        return Message::FAILED;
+    case Shards::JobState::Cancelled:
+        break;
+    }
+    return Message::CANCELLED;
+}
+
+Shards::JobState decodeJobState(balsammill::internal::StoredJobState::State state)
+{
+    using Message = balsammill::internal::StoredJobState;
+    switch (state) {
+    case Message::RUNNING:
+        return Shards::JobState::Running;
+    case Message::COMPLETED:
+        return Shards::JobState::Completed;
+    case Message::FAILED:
+        return Shards::JobState::Failed;
+    case Message::CANCELLED:
+        return Shards::JobState::Cancelled;
+    default:
+        return Shards::JobState::Queued;
+    }
+}
+
+namespace {
+
+using Kind = OwnerAnswer::Kind;
+using Answer = balsammill::internal::ShardJobAnswer;
+
+constexpr std::array<std::pair<Kind, Answer::Result>, 9> results { {
+    { Kind::Completed, Answer::COMPLETED },
+    { Kind::Failed, Answer::FAILED },
+    { Kind::Refused, Answer::REFUSED },
+    { Kind::Redirected, Answer::REDIRECTED },
+    { Kind::InDoubt, Answer::IN_DOUBT },
+    { Kind::NotOwner, Answer::NOT_OWNER },
+    { Kind::Accepted, Answer::ACCEPTED },
+    { Kind::Known, Answer::KNOWN },
+    { Kind::UnknownJob, Answer::UNKNOWN_JOB },
+} };
+
+} // namespace
+
+void encodeAnswer(const OwnerAnswer& answer, Answer& message)
+{
+    for (const auto& [kind, result] : results) {
+        if (kind == answer.kind)
+            message.set_result(result);
+    }
+    message.set_retry_after_us(answer.retryAfter.count());
+    message.set_redirect_shard(answer.redirect.value);
+    message.set_state(encodeJobState(answer.state));
+}
+
+OwnerAnswer decodeAnswer(const Answer& message)
+{
+    // A result of a later version says nothing here, so the job is in doubt.
+    OwnerAnswer answer { .kind = Kind::InDoubt,
+        .retryAfter = Duration(message.retry_after_us()),
+        .redirect = Shards::ShardName(message.redirect_shard()),
+        .state = decodeJobState(message.state()) };
+    for (const auto& [kind, result] : results) {
+        if (result == message.result())
+            answer.kind = kind;
+    }
+    return answer;
+}
+
 } // namespace Balsammill
--- a/libs/node/src/JobMessageCodec.h
+++ b/libs/node/src/JobMessageCodec.h
@@ -1,15 +1,18 @@
 #pragma once
 
-#include "balsammill/shards/JobSpec.h"
+#include "OwnerAnswer.h"
 
-namespace balsammill::internal {
-class ShardJob;
-}
+#include "balsammill/internal/shard.pb.h"
 
 namespace Balsammill {
 
-/// Translation of a job between the decision logic and the messages between entries.
+/// Translation of jobs and their states between the decision logic and the messages between entries.
 void encodeJob(const Shards::JobSpec&, balsammill::internal::ShardJob&);
 Shards::JobSpec decodeJob(const balsammill::internal::ShardJob&);
+balsammill::internal::StoredJobState::State encodeJobState(Shards::JobState);
+Shards::JobState decodeJobState(balsammill::internal::StoredJobState::State);
+/// All but the number of the submission.
+void encodeAnswer(const OwnerAnswer&, balsammill::internal::ShardJobAnswer&);
+OwnerAnswer decodeAnswer(const balsammill::internal::ShardJobAnswer&);
 
 } // namespace Balsammill
--- a/libs/node/src/ShardDirectory.cpp
+++ b/libs/node/src/ShardDirectory.cpp
@@ -1,9 +1,17 @@
 #include "ShardDirectory.h"
 
+#include "balsammill/base/StableHash.h"
 #include "balsammill/internal/shard.pb.h"
 
 namespace Balsammill {
 
+namespace {
+
+// Clients of the count accept one that is two seconds old; the rest is for the way.
+constexpr Duration oldestCount = std::chrono::milliseconds(1700);
+
+} // namespace
+
 bool ShardDirectory::apply(const Platform::Row& row, TimePoint now)
 {
     if (row.key == layoutKey) {
@@ -28,6 +36,7 @@
         .released = record.released(),
         .handedOverBy = VmName(record.handed_over_by()),
         .handedOverByIncarnation = Incarnation(record.handed_over_by_incarnation()),
+        .keepsJobs = record.keeps_jobs(),
         .changedAt = now };
     return true;
 }
@@ -40,10 +49,10 @@
         owners_.erase(Shards::ShardName(key));
 }
 
-void ShardDirectory::noteStatus(const Shards::ShardName& name, Epoch epoch, const ShardStatus& status)
+void ShardDirectory::noteStatus(const Shards::ShardName& name, const ShardStatus& status)
 {
     const auto* owner = find(name);
-    if (owner == nullptr || owner->epoch == epoch)
+    if (owner == nullptr || owner->epoch == status.epoch)
         statuses_[name] = status;
 }
 
@@ -59,6 +68,44 @@
     return found == statuses_.end() ? nullptr : &found->second;
 }
 
+std::optional<std::uint32_t> ShardDirectory::waitingJobs(const Shards::QueueName& queue, TimePoint now) const
+{
+    std::uint32_t sum = 0;
+    for (const auto& [name, owner] : owners_) {
+        if (!owner.keepsJobs)
+            continue;
+        const auto* status = statusOf(name);
+        const bool usable = status != nullptr && status->waitingByQueue && status->epoch == owner.epoch
+            && now - status->reportedAt <= oldestCount;
+        if (!usable)
+            return std::nullopt;
+        const auto found = status->waitingByQueue->find(queue);
+        sum += found == status->waitingByQueue->end() ? 0 : found->second;
+    }
+    return sum;
+}
+
+std::optional<Shards::ShardName> ShardDirectory::homeOf(
+    const JobId& job, const std::vector<FailureDomain>& allDomains) const
+{
+    if (!shardsPerDomain_)
+        return std::nullopt;
+    // Rendezvous hashing: each entry finds the same shard without a record of the job.
+    std::optional<Shards::ShardName> home;
+    std::uint64_t highest = 0;
+    for (const auto& domain : allDomains) {
+        for (unsigned i = 0; i < *shardsPerDomain_; ++i) {
+            auto name = shardName(domain, i);
+            const auto weight = stableHash(job.value + "/" + name.value);
+            if (!home || weight > highest) {
+                highest = weight;
+                home = std::move(name);
+            }
+        }
+    }
+    return home;
+}
+
 Shards::ShardName ShardDirectory::shardName(const FailureDomain& domain, unsigned index)
 {
     return Shards::ShardName(domain.value + "/" + std::to_string(index));
@@ -80,6 +127,7 @@
     record.set_released(owner.released);
     record.set_handed_over_by(owner.handedOverBy.value);
     record.set_handed_over_by_incarnation(owner.handedOverByIncarnation.value);
+    record.set_keeps_jobs(owner.keepsJobs);
     return {
         .table = table, .part = {}, .key = name.value, .value = record.SerializeAsString(), .version = owner.version
     };
--- /dev/null
+++ b/libs/node/src/ShardJournal.cpp
@@ -0,0 +1,198 @@
+#include "ShardJournal.h"
+
+#include "balsammill/internal/shard.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Balsammill {
+
+namespace {
+
+constexpr auto journalTable = "jobs";
+// Sorts before every job id, which is hexadecimal.
+constexpr auto fenceKey = "!fence";
+// The store answers within 10 ms; when it is slow, fifty times as long.
+constexpr Duration callTimeout = std::chrono::milliseconds(1000);
+// Pause after a failed call; doubled up to the longest while the store does not answer.
+constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration longestRetryDelay = std::chrono::milliseconds(400);
+
+std::optional<balsammill::internal::JournalFence> findFence(const std::vector<Platform::Row>& rows)
+{
+    for (const auto& row : rows) {
+        balsammill::internal::JournalFence fence;
+        if (row.key == fenceKey && !row.value.empty() && fence.ParseFromString(row.value))
+            return fence;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+ShardJournal::ShardJournal(
+    boost::asio::io_context& context, Platform::Store& store, const Shards::ShardName& shard, Epoch epoch)
+    : store_(store)
+    , retryTimer_(context)
+    , part_(shard.value)
+    , epoch_(epoch)
+    , alive_(std::make_shared<bool>(true))
+{
+}
+
+ShardJournal::~ShardJournal() { *alive_ = false; }
+
+Platform::Row ShardJournal::row(const std::string& key, const std::string& value) const
+{
+    return { .table = journalTable, .part = part_, .key = key, .value = value, .version = {} };
+}
+
+Platform::Row ShardJournal::fenceRow(std::uint64_t batches) const
+{
+    balsammill::internal::JournalFence fence;
+    fence.set_epoch(epoch_.value);
+    fence.set_batches(batches);
+    auto result = row(fenceKey, fence.SerializeAsString());
+    result.version = fenceVersion_;
+    return result;
+}
+
+void ShardJournal::retryLater(void (ShardJournal::*action)())
+{
+    retryDelay_ = std::clamp(retryDelay_ * 2, firstRetryDelay, longestRetryDelay);
+    retryTimer_.expires_after(retryDelay_);
+    retryTimer_.async_wait([this, alive = alive_, action](const boost::system::error_code& error) {
+        if (!error && *alive)
+            (this->*action)();
+    });
+}
+
+void ShardJournal::open(OpenCallback opened)
+{
+    opened_ = std::move(opened);
+    readPage({});
+}
+
+void ShardJournal::readPage(const std::string& fromKey)
+{
+    if (fromKey.empty()) {
+        rows_.clear();
+        fenceVersion_ = {};
+    }
+    store_.read(journalTable, part_, fromKey, monotonicNow() + callTimeout, [this, alive = alive_](const auto& result) {
+        if (!*alive)
+            return;
+        if (result.status != Platform::StoreStatus::Ok) {
+            retryLater(&ShardJournal::restartOpen);
+            return;
+        }
+        retryDelay_ = Duration::zero();
+        const auto fence = findFence(result.rows);
+        if (fence && fence->epoch() > epoch_.value) {
+            std::exchange(opened_, nullptr)(std::nullopt);
+            return;
+        }
+        for (const auto& each : result.rows) {
+            if (each.key == fenceKey)
+                fenceVersion_ = each.version;
+            else
+                rows_.push_back({ .key = each.key, .value = each.value });
+        }
+        if (result.hasMore && !result.rows.empty())
+            readPage(result.rows.back().key + std::string(1, '\x01'));
+        else
+            takeOver();
+    });
+}
+
+void ShardJournal::takeOver()
+{
+    // Whatever a former owner writes after the pages were read changes the fence row, so that this write fails.
+    const auto fence = fenceRow(0);
+    store_.write({ .conditions = { fence }, .puts = { fence } }, monotonicNow() + callTimeout,
+        [this, alive = alive_](const Platform::RowsResult& result) {
+            if (*alive)
+                handleTakeOver(result);
+        });
+}
+
+void ShardJournal::handleTakeOver(const Platform::RowsResult& result)
+{
+    if (result.status != Platform::StoreStatus::Ok) {
+        // The pages show whether the write has taken effect, or which owner was faster.
+        retryLater(&ShardJournal::restartOpen);
+        return;
+    }
+    retryDelay_ = Duration::zero();
+    fenceVersion_ = result.version;
+    std::exchange(opened_, nullptr)(std::exchange(rows_, {}));
+}
+
+void ShardJournal::write(const Write& write, WriteCallback written)
+{
+    pending_ = write;
+    written_ = std::move(written);
+    inDoubt_ = false;
+    attempt();
+}
+
+void ShardJournal::attempt()
+{
+    const auto fence = fenceRow(batches_ + 1);
+    Platform::Transaction transaction { .conditions = { fence }, .puts = { fence } };
+    for (const auto& put : pending_.puts)
+        transaction.puts.push_back(row(put.key, put.value));
+    for (const auto& key : pending_.removals)
+        transaction.removals.push_back(row(key, {}));
+    store_.write(transaction, monotonicNow() + callTimeout, [this, alive = alive_](const Platform::RowsResult& result) {
+        if (*alive)
+            handleWritten(result);
+    });
+}
+
+void ShardJournal::handleWritten(const Platform::RowsResult& result)
+{
+    switch (result.status) {
+    case Platform::StoreStatus::Ok:
+        fenceVersion_ = result.version;
+        finishWrite(Outcome::Written);
+        return;
+    case Platform::StoreStatus::Conflict: {
+        const auto fence = findFence(result.rows);
+        const bool done = fence && fence->epoch() == epoch_.value && fence->batches() == batches_ + 1;
+        if (!done) {
+            finishWrite(Outcome::Fenced);
+            return;
+        }
+        // An earlier attempt has taken effect.
+        for (const auto& each : result.rows) {
+            if (each.key == fenceKey)
+                fenceVersion_ = each.version;
+        }
+        finishWrite(Outcome::Written);
+        return;
+    }
+    case Platform::StoreStatus::Refused:
+    case Platform::StoreStatus::HistoryGone:
+        if (!inDoubt_) {
+            finishWrite(Outcome::Refused);
+            return;
+        }
+        break;
+    case Platform::StoreStatus::Unknown:
+        inDoubt_ = true;
+        break;
+    }
+    retryLater(&ShardJournal::attempt);
+}
+
+void ShardJournal::finishWrite(Outcome outcome)
+{
+    retryDelay_ = Duration::zero();
+    if (outcome == Outcome::Written)
+        ++batches_;
+    pending_ = {};
+    std::exchange(written_, nullptr)(outcome);
+}
+
+} // namespace Balsammill
--- /dev/null
+++ b/libs/node/src/ShardJournal.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "balsammill/shards/Admission.h"
+#include "platform/Store.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Balsammill {
+
+/// The rows of one shard's durable jobs in the store. Only the owner that opened the journal last can change it: every
+/// write rewrites a fence row and demands that the row has not changed since this owner's last write. That also makes
+/// a write without an answer safe to repeat, because only one of the copies can take effect.
+class ShardJournal {
+public:
+    struct Row {
+        std::string key;
+        std::string value;
+    };
+    struct Write {
+        std::vector<Row> puts {};
+        std::vector<std::string> removals {};
+    };
+    enum class Outcome {
+        Written,
+        /// Nothing was written and nothing will be.
+        Refused,
+        /// Another owner has opened the journal.
+        Fenced,
+    };
+    /// The rows; empty if another owner has opened the journal.
+    using OpenCallback = std::function<void(const std::optional<std::vector<Row>>&)>;
+    using WriteCallback = std::function<void(Outcome)>;
+
+    ShardJournal(boost::asio::io_context&, Platform::Store&, const Shards::ShardName&, Epoch);
+    ~ShardJournal();
+    ShardJournal(const ShardJournal&) = delete;
+    ShardJournal& operator=(const ShardJournal&) = delete;
+
+    /// Takes the journal over and reads it. Repeats until the store answers.
+    void open(OpenCallback);
+    /// One write at a time. Repeats a write whose result is not known until it is.
+    void write(const Write&, WriteCallback);
+
+private:
+    void readPage(const std::string& fromKey);
+    void takeOver();
+    void handleTakeOver(const Platform::RowsResult&);
+    void attempt();
+    void handleWritten(const Platform::RowsResult&);
+    void finishWrite(Outcome);
+    void retryLater(void (ShardJournal::*action)());
+    Platform::Row row(const std::string& key, const std::string& value) const;
+    Platform::Row fenceRow(std::uint64_t batches) const;
+    void restartOpen() { readPage({}); }
+
+    Platform::Store& store_;
+    boost::asio::steady_timer retryTimer_;
+    std::string part_;
+    Epoch epoch_;
+    // Version of the fence row, 0 if there is none.
+    Platform::RowVersion fenceVersion_;
+    std::uint64_t batches_ { 0 };
+    std::vector<Row> rows_;
+    OpenCallback opened_;
+    Write pending_;
+    WriteCallback written_;
+    // An attempt of the pending write may have taken effect, or may still.
+    bool inDoubt_ { false };
+    Duration retryDelay_ {};
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace Balsammill
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ShardOwnership.cpp
@@ -135,7 +135,7 @@
             continue;
         if (leaving_ && now >= releaseAt_)
             renew(name, now, true);
-        else if (now >= pending.renewAt)
+        else if (now >= pending.renewAt || pending.declareJobs)
             renew(name, now, false);
         if (leaving_ && now >= pending.askAgainAt)
             handOver(name, now);
@@ -215,12 +215,12 @@
     retiring_[name] = std::move(server);
 }
 
-void ShardOwnership::handleRetiring(
-    const PeerId& peer, const Shards::ShardName& name, const std::set<Shards::UpstreamId>& held)
+void ShardOwnership::handleRetiring(const PeerId& peer, const Shards::ShardName& name,
+    const std::set<Shards::UpstreamId>& held, const std::set<Shards::UpstreamId>& left)
 {
     auto* server = serverOf(name);
     if (server != nullptr && server->predecessor() == peer)
-        server->handlePredecessorHolds(held);
+        server->handlePredecessorHolds(held, left);
 }
 
 void ShardOwnership::cancel(const Submitter& submitter)
@@ -248,7 +248,8 @@
         .incarnation = context_.incarnation,
         .address = context_.settings.peerListen,
         .handedOverBy = handedOverBy.vm,
-        .handedOverByIncarnation = handedOverBy.incarnation };
+        .handedOverByIncarnation = handedOverBy.incarnation,
+        .keepsJobs = previous != nullptr && previous->keepsJobs };
     const auto row = ShardDirectory::encode(name, next);
     auto& pending = pending_[name];
     pending.writing = true;
@@ -287,6 +288,7 @@
     ShardOwner next = *current;
     ++next.renewal;
     next.released = release;
+    next.keepsJobs = next.keepsJobs || pending_[name].declareJobs;
     const auto row = ShardDirectory::encode(name, next);
     auto& pending = pending_[name];
     pending.writing = true;
@@ -301,6 +303,10 @@
                 auto written = ShardDirectory::encode(name, next);
                 written.version = result.version;
                 directory_.apply(written, monotonicNow());
+                if (auto* server = serverOf(name); server != nullptr && next.keepsJobs && done.declareJobs) {
+                    done.declareJobs = false;
+                    server->handleJobsDeclared();
+                }
                 if (release)
                     lose(name, "released");
                 return;
@@ -348,28 +354,43 @@
     if (servers_.contains(name))
         return;
     pending_[name].renewAt = monotonicNow() + renewInterval;
-    servers_[name] = std::make_unique<ShardServer>(context_, name, record.epoch,
-        PeerId { .vm = record.handedOverBy, .incarnation = record.handedOverByIncarnation },
-        ShardServer::Handlers { .otherShards =
-                                    [this, name] {
-                                        std::vector<Shards::OtherShard> others;
-                                        for (const auto& [other, owner] : directory_.owners()) {
-                                            const auto* status = directory_.statusOf(other);
-                                            const bool reachable = servers_.contains(other)
-                                                || peers_.stateOf(owner.address) == Shards::PeerState::Connected;
-                                            if (other != name && status != nullptr && reachable)
-                                                others.push_back({ .name = other,
-                                                    .freeMilliCores = status->freeMilliCores,
-                                                    .waitingJobs = status->waitingJobs });
-                                        }
-                                        return others;
-                                    },
-            .fenced = [this, name] { lose(name, "an upstream has seen a higher fencing token"); } });
+    pending_[name].declareJobs = false;
+    servers_[name] = std::make_unique<ShardServer>(context_, store_,
+        ShardServer::Options { .name = name,
+            .epoch = record.epoch,
+            .predecessor = { .vm = record.handedOverBy, .incarnation = record.handedOverByIncarnation },
+            .keepsJobs = record.keepsJobs },
+        ShardServer::Handlers { .otherShards = [this, name] { return otherShards(name); },
+            .fenced = [this, name] { lose(name, "another owner has written or used a higher fencing token"); },
+            .declareJobs = [this, name] { declareJobs(name); } });
+    servers_[name]->setShardCount(
+        std::max<std::size_t>(context_.settings.allDomains.size() * directory_.shardsPerDomain().value_or(1), 1));
     followUpstreams();
     for (const auto& [id, info] : upstreams_)
         offerUpstream(info);
 }
 
+std::vector<Shards::OtherShard> ShardOwnership::otherShards(const Shards::ShardName& besides) const
+{
+    std::vector<Shards::OtherShard> others;
+    for (const auto& [name, owner] : directory_.owners()) {
+        const auto* status = directory_.statusOf(name);
+        const bool reachable = servers_.contains(name) || peers_.stateOf(owner.address) == Shards::PeerState::Connected;
+        if (name != besides && status != nullptr && reachable)
+            others.push_back(
+                { .name = name, .freeMilliCores = status->freeMilliCores, .waitingJobs = status->waitingJobs });
+    }
+    return others;
+}
+
+void ShardOwnership::declareJobs(const Shards::ShardName& name)
+{
+    auto& pending = pending_[name];
+    pending.declareJobs = true;
+    if (!pending.writing)
+        renew(name, monotonicNow(), false);
+}
+
 void ShardOwnership::lose(const Shards::ShardName& name, std::string_view reason)
 {
     if (const auto found = retiring_.find(name); found != retiring_.end() && !servers_.contains(name)) {
--- a/libs/node/src/ShardOwnership.h
+++ b/libs/node/src/ShardOwnership.h
@@ -33,7 +33,8 @@
     bool ownsNothing() const { return servers_.empty() && retiring_.empty(); }
     void handleTakeOver(const PeerLink& from, const Shards::ShardName&, Epoch);
     /// A predecessor has said on which upstreams its tasks still run.
-    void handleRetiring(const PeerId&, const Shards::ShardName&, const std::set<Shards::UpstreamId>& held);
+    void handleRetiring(const PeerId&, const Shards::ShardName&, const std::set<Shards::UpstreamId>& held,
+        const std::set<Shards::UpstreamId>& left);
     /// Shards that this entry has handed over and on whose upstreams its tasks still run.
     const std::map<Shards::ShardName, std::unique_ptr<ShardServer>>& retiring() const { return retiring_; }
 
@@ -44,6 +45,8 @@
         TimePoint retryAt {};
         TimePoint askAgainAt {};
         unsigned asked { 0 };
+        /// The record has to say that the shard keeps durable jobs.
+        bool declareJobs { false };
     };
 
     void decideLayout(TimePoint now);
@@ -55,6 +58,9 @@
     void followUpstreams();
     void renew(const Shards::ShardName&, TimePoint now, bool release);
     void startServer(const Shards::ShardName&, const ShardOwner&);
+    std::vector<Shards::OtherShard> otherShards(const Shards::ShardName& besides) const;
+    /// Lets the next write of the record say that the shard keeps durable jobs.
+    void declareJobs(const Shards::ShardName&);
     void lose(const Shards::ShardName&, std::string_view reason);
     void adoptRows(const Platform::RowsResult&);
     bool isMine(const ShardOwner&) const;
--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -43,17 +43,25 @@
 
 } // namespace
 
-ShardServer::ShardServer(
-    NodeContext& context, Shards::ShardName name, Epoch epoch, PeerId predecessor, Handlers handlers)
+ShardServer::ShardServer(NodeContext& context, Platform::Store& store, const Options& options, Handlers handlers)
     : context_(context)
-    , name_(std::move(name))
-    , epoch_(epoch)
+    , name_(options.name)
+    , epoch_(options.epoch)
     , startedAt_(monotonicNow())
     , handlers_(std::move(handlers))
     , engine_(Shards::ShardEngine::Options { .stopGrace = context.settings.stopGrace })
-    , predecessor_(std::move(predecessor))
+    , durable_(context, store, engine_, options.name, options.epoch, options.keepsJobs,
+          DurableJobs::Handlers { .progressed = [this] { progress(); },
+              .fenced = [this] { handleFenced(); },
+              .declare = [this] { handlers_.declareJobs(); },
+              .opened = [this] { openAllSessions(); } })
+    , predecessor_(options.predecessor)
     , alive_(std::make_shared<bool>(true))
 {
+    // A predecessor that is there tells what it leaves; one that is gone may have started anything a lease ago.
+    engine_.holdInherited(
+        predecessor_.vm.empty() ? startedAt_ + UpstreamSession::longestLease(context.settings) : TimePoint::max());
+    durable_.start();
 }
 
 ShardServer::~ShardServer()
@@ -84,52 +92,98 @@
         engine_.handleLeaseExpired(info.id, now);
     }
     // An upstream in use follows its registration in any case: a draining one must get no more tasks.
-    const bool withheld = !predecessor_.vm.empty() && (!heldByPredecessor_ || heldByPredecessor_->contains(info.id));
-    if (!sessions_.contains(info.id) && (withheld || retiring_))
+    if (!sessions_.contains(info.id) && isWithheld(info.id))
         return;
     openSession(info);
     progress();
 }
 
+void ShardServer::handleFenced()
+{
+    // The handler destroys this object, which the caller still uses.
+    boost::asio::post(context_.loop, [this, alive = alive_] {
+        if (*alive)
+            handlers_.fenced();
+    });
+}
+
+void ShardServer::openAllSessions()
+{
+    for (const auto& [id, info] : upstreams_) {
+        if (!sessions_.contains(id) && !isWithheld(id))
+            openSession(info);
+    }
+}
+
+bool ShardServer::isWithheld(const Shards::UpstreamId& id) const
+{
+    // Without the journal it is not known which of the runs there are to go on.
+    if (retiring_ || !durable_.knowsAll())
+        return true;
+    return !predecessor_.vm.empty() && (!heldByPredecessor_ || heldByPredecessor_->contains(id));
+}
+
 void ShardServer::openSession(const Shards::UpstreamInfo& info)
 {
     const auto now = monotonicNow();
     engine_.updateUpstream(info, now);
     if (!sessions_.contains(info.id)) {
         auto opened = std::make_shared<UpstreamSession>(context_, engine_, info, epoch_,
-            UpstreamSession::Handlers { .progressed = [this] { progress(); },
-                .fenced =
-                    [this] {
-                        // The handler destroys this object, which the caller still uses.
-                        boost::asio::post(context_.loop, [this, alive = alive_] {
-                            if (*alive)
-                                handlers_.fenced();
-                        });
-                    } });
+            UpstreamSession::Handlers { .progressed = [this] { progress(); }, .fenced = [this] { handleFenced(); } });
         sessions_[info.id] = opened;
         opened->advance(now);
     }
 }
 
-void ShardServer::handlePredecessorHolds(const std::set<Shards::UpstreamId>& held)
+void ShardServer::handlePredecessorHolds(
+    const std::set<Shards::UpstreamId>& held, const std::set<Shards::UpstreamId>& left)
 {
     if (predecessor_.vm.empty() || heldByPredecessor_ == held)
         return;
     heldByPredecessor_ = held;
-    for (const auto& [id, info] : upstreams_) {
-        if (!held.contains(id) && !sessions_.contains(id))
-            openSession(info);
-    }
-    if (held.empty())
+    namedByPredecessor_.insert(held.begin(), held.end());
+    namedByPredecessor_.insert(left.begin(), left.end());
+    if (held.empty()) {
         predecessor_ = PeerId();
+        settling_ = true;
+        // Should one of the upstreams not report, the leases of what was started there run out.
+        engine_.holdInherited(monotonicNow() + UpstreamSession::longestLease(context_.settings));
+    }
+    openAllSessions();
     progress();
 }
 
-void ShardServer::handlePredecessorGone() { handlePredecessorHolds({}); }
+void ShardServer::settleInheritance(TimePoint now)
+{
+    const bool allReported = std::all_of(namedByPredecessor_.begin(), namedByPredecessor_.end(),
+        [this](const auto& id) { return engine_.isConfirmed(id); });
+    if (!settling_ || !allReported)
+        return;
+    settling_ = false;
+    engine_.holdInherited(now);
+}
+
+void ShardServer::handlePredecessorGone()
+{
+    if (predecessor_.vm.empty())
+        return;
+    // It may have been silent about upstreams, so only the leases tell when its tasks are over.
+    heldByPredecessor_ = std::set<Shards::UpstreamId> {};
+    predecessor_ = PeerId();
+    engine_.holdInherited(monotonicNow() + UpstreamSession::longestLease(context_.settings));
+    openAllSessions();
+    progress();
+}
 
 void ShardServer::retire()
 {
     retiring_ = true;
+    durable_.close();
+    for (const auto& [id, session] : sessions_) {
+        if (engine_.runsDurable(id))
+            leftUpstreams_.insert(id);
+    }
+    engine_.relinquishDurable();
     releaseIdle();
 }
 
@@ -172,15 +226,12 @@
         callback({ .kind = OwnerAnswer::Kind::NotOwner, .retryAfter = {}, .redirect = {} });
         return;
     }
+    if (spec.durable && durable_.knows(spec.id)) {
+        submitDurable(std::move(spec), std::move(callback));
+        return;
+    }
     const auto forecast = engine_.forecast(spec, now - age, now);
-    // Until the upstreams have reported there is nothing to forecast by; they do within a few round trips.
-    const bool settling = now - startedAt_ < settlingTime;
-    const auto decision = settling
-        ? Shards::AdmissionDecision(Shards::AcceptJob {})
-        : Shards::decideAdmission({ .job = spec,
-            .forecast = forecast,
-            .others = mayRedirect ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
-            .now = now });
+    const auto decision = admit(spec, forecast, mayRedirect);
     const bool sampled = context_.log.samples(spec.id.value);
     const auto queueLabel = "queue=\"" + spec.queue.value + "\"";
     if (const auto* redirect = std::get_if<Shards::SendToShard>(&decision)) {
@@ -206,6 +257,10 @@
         callback({ .kind = OwnerAnswer::Kind::Refused, .retryAfter = refuse->retryAfter, .redirect = {} });
         return;
     }
+    if (spec.durable) {
+        submitDurable(std::move(spec), std::move(callback));
+        return;
+    }
     const Shards::SubmissionId number { ++lastSubmission_ };
     if (sampled)
         context_.log.event("job.accepted",
@@ -224,6 +279,44 @@
     progress();
 }
 
+Shards::AdmissionDecision ShardServer::admit(
+    const Shards::JobSpec& spec, const Shards::JobForecast& forecast, bool mayRedirect) const
+{
+    const auto now = monotonicNow();
+    // Until the upstreams have reported there is nothing to forecast by; they do within a few round trips.
+    if (now - startedAt_ < settlingTime)
+        return Shards::AcceptJob {};
+    // Work without an end, or that is due later, has no forecast; it only has to be possible at all.
+    const bool timeless = spec.longRunning || spec.schedule;
+    if (timeless && !forecast.impossible)
+        return Shards::AcceptJob {};
+    // A durable job has one home, so that it is found again.
+    const bool movable = mayRedirect && !spec.durable;
+    return Shards::decideAdmission({ .job = spec,
+        .forecast = forecast,
+        .others = movable ? handlers_.otherShards() : std::vector<Shards::OtherShard> {},
+        .now = now });
+}
+
+void ShardServer::submitDurable(Shards::JobSpec spec, OwnerAnswerCallback callback)
+{
+    const auto receivedAt = monotonicNow();
+    const auto id = spec.id;
+    const auto queueLabel = "queue=\"" + spec.queue.value + "\"";
+    durable_.submit(std::make_shared<const Shards::JobSpec>(std::move(spec)),
+        [this, alive = alive_, id, queueLabel, receivedAt, callback = std::move(callback)](const OwnerAnswer& result) {
+            if (*alive && result.kind == OwnerAnswer::Kind::Accepted) {
+                const auto took = toMs(monotonicNow() - receivedAt);
+                context_.metrics.count("accepted", queueLabel);
+                context_.metrics.observeMs("store_time", queueLabel, took);
+                if (context_.log.samples(id.value))
+                    context_.log.event("job.stored",
+                        { { "id", id.value }, { "shard", name_.value }, { "ms", static_cast<std::int64_t>(took) } });
+            }
+            callback(result);
+        });
+}
+
 void ShardServer::cancel(const Submitter& submitter)
 {
     const auto found = bySubmitter_.find(submitter);
@@ -255,6 +348,7 @@
 void ShardServer::abandon()
 {
     abandoned_ = true;
+    durable_.close();
     for (auto& [id, session] : sessions_)
         session->close();
     auto open = std::move(open_);
@@ -266,6 +360,16 @@
 
 void ShardServer::carryOut(const Shards::FinishJob& finished)
 {
+    if (finished.submission == Shards::SubmissionId()) {
+        const auto& id = finished.job.job;
+        if (finished.result != Shards::JobResult::Completed || context_.log.samples(id.value))
+            context_.log.event("job.ended",
+                { { "id", id.value }, { "shard", name_.value },
+                    { "occurrence", std::uint64_t { finished.job.occurrence } }, { "result", nameOf(finished.result) },
+                    { "waited_ms", static_cast<std::int64_t>(toMs(finished.waited)) } });
+        durable_.noteFinished(finished);
+        return;
+    }
     const auto found = open_.find(finished.submission);
     if (found == open_.end())
         return;
@@ -298,10 +402,23 @@
             { { "id", start.task.job.value }, { "step", std::uint64_t { start.task.step } },
                 { "index", std::uint64_t { start.task.index } }, { "run", start.run.value },
                 { "upstream", start.upstream.value }, { "fence", epoch_.value } });
+    if (start.job->durable)
+        durable_.noteStarted(start.task.job);
     if (auto* target = session(start.upstream))
         target->start(start);
 }
 
+void ShardServer::carryOut(const Shards::ProgressChanged& change) { durable_.noteProgress(change); }
+
+void ShardServer::carryOut(const Shards::TaskAdopted& adopted)
+{
+    context_.metrics.count("tasks_adopted");
+    context_.log.event("task.adopted",
+        { { "id", adopted.task.job.value }, { "index", std::uint64_t { adopted.task.index } },
+            { "run", adopted.run.value }, { "upstream", adopted.upstream.value } });
+    durable_.noteStarted(adopted.task.job);
+}
+
 void ShardServer::carryOut(const Shards::StopTask& stop)
 {
     context_.log.event("task.stopped",
@@ -346,12 +463,16 @@
         carryOut(actions);
     } while (progressAgain_ && !abandoned_);
     progressing_ = false;
+    if (!abandoned_)
+        durable_.write();
 }
 
 void ShardServer::advance()
 {
     const auto now = monotonicNow();
     engine_.advance(now);
+    durable_.advance();
+    settleInheritance(now);
     const auto sessions = sessions_;
     for (const auto& [id, session] : sessions)
         session->advance(now);
--- a/libs/node/src/TableFollower.cpp
+++ b/libs/node/src/TableFollower.cpp
@@ -36,7 +36,7 @@
 {
     if (fromKey.empty())
         loading_.clear();
-    store_.read(table_, fromKey, monotonicNow() + readTimeout, [this, alive = alive_, fromKey](const auto& result) {
+    store_.read(table_, {}, fromKey, monotonicNow() + readTimeout, [this, alive = alive_, fromKey](const auto& result) {
         if (!*alive)
             return;
         if (result.status != Platform::StoreStatus::Ok) {
--- a/libs/node/src/UpstreamSession.cpp
+++ b/libs/node/src/UpstreamSession.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Balsammill {
 
@@ -22,6 +23,8 @@
 constexpr Duration expiryMargin = std::chrono::milliseconds(80);
 // Ends of an upstream that has become idle are acknowledged after this time, unless a start does it sooner.
 constexpr Duration idleAcknowledgeDelay = std::chrono::milliseconds(250);
+// Between two reports while ends wait to be recorded, which takes about a write of the store.
+constexpr Duration unrecordedPause = std::chrono::milliseconds(20);
 // On top of the time that a stop takes, before its effect is looked at.
 constexpr Duration stopMargin = std::chrono::milliseconds(10);
 // Pause after a failed report; doubled up to the longest while the upstream does not answer.
@@ -50,6 +53,12 @@
 {
 }
 
+Duration UpstreamSession::longestLease(const NodeSettings& settings)
+{
+    const auto real = static_cast<double>(settings.maxLease.count()) / slowestClock;
+    return Duration(static_cast<Duration::rep>(real)) + expiryMargin + settings.stopGrace;
+}
+
 void UpstreamSession::close()
 {
     closed_ = true;
@@ -147,7 +156,7 @@
     // The answer may be lost while the task runs; then the report lists it and nothing has to be repeated.
     const auto now = monotonicNow();
     const auto request
-        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndHandled(id_), Duration::zero());
+        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndToAcknowledge(id_), Duration::zero());
     orders_->send(
         request, now + answerTimeout, [self = shared_from_this(), start, now, attempt](const HttpResult& result) {
             if (self->closed_)
@@ -201,7 +210,7 @@
 {
     const auto sentAt = monotonicNow();
     const auto request
-        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndHandled(id_), Duration::zero());
+        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndToAcknowledge(id_), Duration::zero());
     orders_->send(
         request, sentAt + answerTimeout, [self = shared_from_this(), start, attempt, sentAt](const HttpResult& result) {
             if (self->closed_)
@@ -287,7 +296,7 @@
     if (confirmed_ && engine_.needsLease(id_, now))
         lease = grant(now, context_.settings.maxLease);
     const auto waitFor = wait ? reportWait : Duration::zero();
-    const auto lastEnd = engine_.lastEndHandled(id_);
+    const auto lastEnd = engine_.lastEndToAcknowledge(id_);
     const auto request = Platform::encodeReportRequest(id_, lease, fence_, lastEnd, waitFor);
     context_.metrics.count("upstream_reports");
     reports_->send(
@@ -327,6 +336,7 @@
         failing_ = false;
         retryDelay_ = Duration::zero();
         confirmed_ = true;
+        reportedAt_ = now;
         // A report that waited was complete when it was answered, so runs confirmed before it was sent are judged.
         engine_.handleReport(id_, report, sentAt, now);
     } catch (const Platform::FormatError& error) {
@@ -365,12 +375,22 @@
     }
     if (busy) {
         idleSince_ = TimePoint {};
-        requestReport(now, true);
+        // The upstream answers at once while it lists an end, so a request that cannot acknowledge all has to wait.
+        const bool listsEnds = engine_.hasUnrecordedEnds(id_);
+        if (listsEnds && now - reportedAt_ < unrecordedPause) {
+            if (!std::exchange(pausePlanned_, true))
+                after(unrecordedPause, [self = shared_from_this()] {
+                    self->pausePlanned_ = false;
+                    self->advance(monotonicNow());
+                });
+            return;
+        }
+        requestReport(now, !listsEnds);
         return;
     }
     if (idleSince_ == TimePoint {})
         idleSince_ = now;
-    if (engine_.lastEndHandled(id_) != acknowledgedEnd_ && now - idleSince_ >= idleAcknowledgeDelay)
+    if (engine_.lastEndToAcknowledge(id_) != acknowledgedEnd_ && now - idleSince_ >= idleAcknowledgeDelay)
         requestReport(now, false);
 }
 
--- a/libs/node/src/UpstreamSession.h
+++ b/libs/node/src/UpstreamSession.h
@@ -26,6 +26,9 @@
 
     UpstreamSession(NodeContext&, Shards::ShardEngine&, const Shards::UpstreamInfo&, Epoch fence, Handlers);
 
+    /// By then every lease that any owner has granted before is over, on the slowest clock.
+    static Duration longestLease(const NodeSettings&);
+
     void start(const Shards::StartTask&);
     void stop(const Shards::StopTask&);
     /// Does what is due: asks for a report, extends the lease, acknowledges ends. Call it after each change and at an
@@ -61,6 +64,8 @@
     // By then every lease granted so far has expired on the upstream.
     TimePoint leaseOverAt_ {};
     TimePoint reportRetryAt_ {};
+    TimePoint reportedAt_ {};
+    bool pausePlanned_ { false };
     TimePoint idleSince_ {};
     Duration retryDelay_ {};
     std::uint64_t acknowledgedEnd_ { 0 };
--- /dev/null
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -0,0 +1,130 @@
+#include "OperatorStore.h"
+#include "ShardJournal.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace Balsammill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Owners with journals of one shard, on a loop of their own, against the stand-in store.
+struct Fixture {
+    Standin::LoopThread storeLoop;
+    Standin::OperatorStore operatorStore { storeLoop };
+    Standin::LoopThread ownLoop;
+    std::unique_ptr<Platform::Store> store;
+
+    Fixture()
+    {
+        ownLoop.run([this] {
+            store = std::make_unique<Platform::Store>(ownLoop.context(), NetworkAddress(operatorStore.address()));
+        });
+    }
+    ~Fixture()
+    {
+        ownLoop.run([this] { store.reset(); });
+    }
+
+    std::shared_ptr<ShardJournal> journal(std::uint64_t epoch)
+    {
+        return ownLoop.run([&] {
+            return std::make_shared<ShardJournal>(
+                ownLoop.context(), *store, Shards::ShardName("valencia/0"), Epoch(epoch));
+        });
+    }
+    void drop(std::shared_ptr<ShardJournal>& journal)
+    {
+        ownLoop.run([&] { journal.reset(); });
+    }
+
+    std::optional<std::vector<ShardJournal::Row>> open(ShardJournal& journal)
+    {
+        std::promise<std::optional<std::vector<ShardJournal::Row>>> opened;
+        ownLoop.run([&] { journal.open([&](const auto& rows) { opened.set_value(rows); }); });
+        return opened.get_future().get();
+    }
+
+    ShardJournal::Outcome write(ShardJournal& journal, const ShardJournal::Write& write)
+    {
+        std::promise<ShardJournal::Outcome> written;
+        ownLoop.run([&] { journal.write(write, [&](auto outcome) { written.set_value(outcome); }); });
+        return written.get_future().get();
+    }
+};
+
+} // namespace
+
+// Guards against rows that are lost between two owners.
+TEST_CASE("A later owner reads what an earlier one wrote")
+{
+    Fixture fixture;
+    auto first = fixture.journal(1);
+    REQUIRE(fixture.open(*first).has_value());
+    CHECK(fixture.write(*first, { .puts = { { "a", "1" }, { "b", "2" } } }) == ShardJournal::Outcome::Written);
+    CHECK(fixture.write(*first, { .puts = { { "a", "3" } }, .removals = { "b" } }) == ShardJournal::Outcome::Written);
+    auto second = fixture.journal(2);
+    const auto rows = fixture.open(*second);
+    REQUIRE(rows.has_value());
+    REQUIRE_EQ(rows->size(), 1);
+    CHECK_EQ(rows->front().key, "a");
+    CHECK_EQ(rows->front().value, "3");
+    fixture.drop(first);
+    fixture.drop(second);
+}
+
+// Guards against a former owner that changes what its successor has read.
+TEST_CASE("Once a later owner has opened the journal an earlier one can neither write nor open it")
+{
+    Fixture fixture;
+    auto first = fixture.journal(1);
+    REQUIRE(fixture.open(*first).has_value());
+    auto second = fixture.journal(2);
+    REQUIRE(fixture.open(*second).has_value());
+    CHECK(fixture.write(*first, { .puts = { { "a", "late" } } }) == ShardJournal::Outcome::Fenced);
+    CHECK(fixture.write(*second, { .puts = { { "a", "2" } } }) == ShardJournal::Outcome::Written);
+    CHECK_FALSE(fixture.open(*first).has_value());
+    fixture.drop(first);
+    fixture.drop(second);
+}
+
+// Guards against a write that is done twice, or reported as failed, when its answer is lost.
+TEST_CASE("A write whose answer is lost is repeated and takes effect once")
+{
+    Fixture fixture;
+    auto journal = fixture.journal(1);
+    REQUIRE(fixture.open(*journal).has_value());
+    for (int i = 0; i < 3; ++i) {
+        fixture.operatorStore.loseAnswers(1);
+        CHECK(fixture.write(*journal, { .puts = { { "a", std::to_string(i) } } }) == ShardJournal::Outcome::Written);
+    }
+    CHECK(fixture.write(*journal, { .puts = { { "a", "last" } } }) == ShardJournal::Outcome::Written);
+    fixture.drop(journal);
+    auto next = fixture.journal(2);
+    const auto rows = fixture.open(*next);
+    REQUIRE(rows.has_value());
+    REQUIRE_EQ(rows->size(), 1);
+    CHECK_EQ(rows->front().value, "last");
+    fixture.drop(next);
+}
+
+// Guards against jobs that count as stored during an outage, and against an owner that gives up on one.
+TEST_CASE("While the store refuses, writes are refused, and an opening waits for it")
+{
+    Fixture fixture;
+    auto journal = fixture.journal(1);
+    REQUIRE(fixture.open(*journal).has_value());
+    fixture.operatorStore.setDown(true);
+    CHECK(fixture.write(*journal, { .puts = { { "a", "1" } } }) == ShardJournal::Outcome::Refused);
+    std::promise<bool> opened;
+    auto next = fixture.journal(2);
+    fixture.ownLoop.run([&] { next->open([&](const auto& rows) { opened.set_value(rows.has_value()); }); });
+    auto result = opened.get_future();
+    CHECK(result.wait_for(100ms) == std::future_status::timeout);
+    fixture.operatorStore.setDown(false);
+    CHECK(result.get());
+    fixture.drop(journal);
+    fixture.drop(next);
+}
--- a/libs/routing/include/balsammill/routing/NodeSettings.h
+++ b/libs/routing/include/balsammill/routing/NodeSettings.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Balsammill {
 
@@ -12,6 +13,8 @@
 struct NodeSettings {
     VmName vm;
     FailureDomain domain;
+    /// All failure domains of the deployment in ascending order, with the own one.
+    std::vector<FailureDomain> allDomains {};
     /// Where clients connect.
     NetworkAddress clientListen;
     /// Where the platform asks whether this entry takes connections.
@@ -21,6 +24,8 @@
     /// Where metrics are served; empty if nowhere.
     NetworkAddress metricsListen;
     NetworkAddress storeAddress;
+    /// Writes a second that the store takes from all entries together.
+    double storeWritesPerSecond { 800 };
     /// Share of a core that this process may use; stronger VMs are preferred as owners.
     double processorShare { 1.0 };
     /// Longest lease that an upstream grants.
@@ -31,6 +36,8 @@
     Duration shutdownGrace {};
     /// How long a client waits before it sends a job again that was not answered.
     Duration clientResendDelay {};
+    /// How long the state of a durable job that has ended has to be told.
+    Duration stateRetention {};
 };
 
 } // namespace Balsammill
--- a/libs/shards/include/balsammill/shards/JobSpec.h
+++ b/libs/shards/include/balsammill/shards/JobSpec.h
@@ -4,6 +4,7 @@
 #include "balsammill/base/Units.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,14 @@
     bool checkpoints { false };
 };
 
+/// When the passes of a repeated job are due.
+struct RepeatSchedule {
+    std::uint32_t count { 1 };
+    /// Unix time of pass 0 in milliseconds.
+    std::int64_t firstRunUnixMs { 0 };
+    Duration interval {};
+};
+
 /// A job as its client submitted it, with what the configuration says of its queue.
 struct JobSpec {
     JobId id;
@@ -68,6 +77,22 @@
     /// Passed to the upstream with each start.
     std::string payload;
     std::vector<StepSpec> steps;
+    /// The job is recorded in the store before it is accepted, and its client asks for its state later. Otherwise the
+    /// client waits for the end, and the job is lost with its owner.
+    bool durable { false };
+    /// The tasks run until the job is cancelled, and start again however they end.
+    bool longRunning { false };
+    /// Empty if the steps run once, as soon as there is room.
+    std::optional<RepeatSchedule> schedule {};
+};
+
+/// One pass through the steps of a job; a job without a schedule has only pass 0.
+struct OccurrenceKey {
+    JobId job {};
+    std::uint32_t occurrence { 0 };
+
+    auto operator<=>(const OccurrenceKey&) const = default;
+    bool empty() const { return job.empty(); }
 };
 
 /// Identifies one task of a job.
@@ -78,10 +103,18 @@
     std::uint32_t index { 0 };
 
     auto operator<=>(const TaskKey&) const = default;
+    OccurrenceKey occurrenceKey() const { return { .job = job, .occurrence = occurrence }; }
 };
 
 } // namespace Balsammill::Shards
 
+template <> struct std::hash<Balsammill::Shards::OccurrenceKey> {
+    std::size_t operator()(const Balsammill::Shards::OccurrenceKey& key) const noexcept
+    {
+        return std::hash<std::string> {}(key.job.value) * 31 + key.occurrence;
+    }
+};
+
 template <> struct std::hash<Balsammill::Shards::TaskKey> {
     std::size_t operator()(const Balsammill::Shards::TaskKey& key) const noexcept
     {
--- a/libs/shards/include/balsammill/shards/ShardActions.h
+++ b/libs/shards/include/balsammill/shards/ShardActions.h
@@ -8,6 +8,9 @@
 
 namespace Balsammill::Shards {
 
+/// Position in the order in which an engine counted the ends of tasks.
+using ProgressMark = StrongNumber<struct ProgressMarkTag>;
+
 /// Send a start to an upstream.
 struct StartTask {
     UpstreamId upstream;
@@ -34,10 +37,10 @@
     NotRun,
 };
 
-/// Answer a submission.
+/// Answer a submission, or note the end of an occurrence of a durable job; then there is no submission.
 struct FinishJob {
-    SubmissionId submission;
-    JobId job;
+    SubmissionId submission {};
+    OccurrenceKey job;
     JobResult result { JobResult::Completed };
     /// Longest time a task of the job waited for room, for logs and metrics.
     Duration waited {};
@@ -58,7 +61,22 @@
     Duration pause {};
 };
 
-using ShardAction = std::variant<StartTask, StopTask, FinishJob, TaskFailed, UpstreamSuspected>;
+/// An end of a task of a durable job was counted. It has to be recorded before the upstream may forget it.
+struct ProgressChanged {
+    OccurrenceKey job;
+    /// To be handed to handleRecorded() with the job once the progress is in the store.
+    ProgressMark mark;
+};
+
+/// A run that an earlier owner started counts as one of this owner's; nothing has to be sent.
+struct TaskAdopted {
+    UpstreamId upstream;
+    TaskKey task;
+    RunNumber run;
+};
+
+using ShardAction
+    = std::variant<StartTask, StopTask, FinishJob, TaskFailed, UpstreamSuspected, ProgressChanged, TaskAdopted>;
 using ShardActions = std::vector<ShardAction>;
 
 } // namespace Balsammill::Shards
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsammill/shards/JobProgress.h"
 #include "balsammill/shards/RunTimeModel.h"
 #include "balsammill/shards/ShardActions.h"
 #include "balsammill/shards/UpstreamInfo.h"
@@ -85,6 +86,26 @@
     /// The submitter has lost interest: waiting tasks are dropped and running ones stopped.
     void cancel(SubmissionId, TimePoint now);
 
+    // Durable jobs. They are never given up, and an end of their tasks is acknowledged to its upstream only after
+    // handleRecorded().
+
+    /// Accepts one occurrence of a job that is in the store. due: when its response time begins.
+    void submitDurable(const OccurrenceKey&, std::shared_ptr<const JobSpec>, TimePoint due);
+    /// As submitDurable(), for a job that an earlier owner accepted. Runs that upstreams report are adopted; tasks that
+    /// none reports wait until holdInherited() is over, because they may be running on an upstream that was not heard.
+    void inheritDurable(const OccurrenceKey&, std::shared_ptr<const JobSpec>, TimePoint due, const JobProgress&);
+    void holdInherited(TimePoint until) { inheritedHeldUntil_ = until; }
+    /// Drops all occurrences of a job and stops what runs.
+    void cancelDurable(const JobId&, TimePoint now);
+    /// Empty if the occurrence is not unfinished here.
+    std::optional<JobProgress> progressOf(const OccurrenceKey&) const;
+    /// What the engine had counted of the job when it handed out the mark is in the store.
+    void handleRecorded(const OccurrenceKey&, ProgressMark);
+    /// True if a task of a durable job is, or may be, on the upstream.
+    bool runsDurable(const UpstreamId&) const;
+    /// Leaves all durable jobs to the next owner: what runs goes on, and its end will not be acknowledged from here.
+    void relinquishDurable();
+
     /// Notices tasks that take far too long, and gives up jobs that have not started and can no longer end in time.
     void advance(TimePoint now);
     /// Places what fits. Call it after any events and before takeActions().
@@ -98,8 +119,10 @@
     bool isBusy(const UpstreamId&) const;
     /// True once it is known what runs on the upstream, so that it may take tasks.
     bool isConfirmed(const UpstreamId&) const;
-    /// Highest sequence of an end that was handled.
-    std::uint64_t lastEndHandled(const UpstreamId&) const;
+    /// Up to which sequence the upstream may forget ends.
+    std::uint64_t lastEndToAcknowledge(const UpstreamId&) const;
+    /// True if ends were handled that may not be acknowledged yet.
+    bool hasUnrecordedEnds(const UpstreamId&) const;
     std::size_t unfinishedJobs() const;
     std::size_t waitingTasks() const;
     /// Jobs of a queue of which no task has started yet.
@@ -113,13 +136,22 @@
     struct Job;
     struct Blocked;
 
-    Job* findJob(const JobId&);
+    Job* findJob(const OccurrenceKey&);
+    const Job* findJob(const OccurrenceKey&) const;
+    Job& addJob(const OccurrenceKey&, std::shared_ptr<const JobSpec>, TimePoint arrivedAt);
+    void stopRuns(const OccurrenceKey&, TimePoint now);
+    void stopOtherRuns(const TaskKey&, TimePoint now);
+    bool adoptRun(Upstream&, const RunningTask&, TimePoint now);
     void startTask(Job&, std::uint32_t step, std::uint32_t index, Upstream&, RunNumber, TimePoint now);
     void stopRun(Upstream&, Run&, TimePoint now);
     void dropRun(Upstream&, const TaskKey&, TimePoint now);
     void finishRun(Upstream&, const EndedTask&, TimePoint now);
-    void completeTask(Job&, std::uint32_t step, std::uint32_t index, const Upstream&, const Run&, TimePoint now);
-    void failTask(Job&, std::uint32_t step, std::uint32_t index, Upstream&, TimePoint now);
+    void applyEnd(Job&, Upstream&, const EndedTask&, const Run* tracked, TimePoint now);
+    void noteUnrecorded(Upstream&, const EndedTask&);
+    void learnRunTime(Job&, Upstream&, const TaskKey&, const Run&, TimePoint now);
+    void completeTask(Job&, const TaskKey&, TimePoint now);
+    void failTask(Job&, const EndedTask&, Upstream&, bool tracked, TimePoint now);
+    void restartTask(Job&, const TaskKey&, const Run&, TimePoint now);
     void retryTask(Job&, std::uint32_t step, std::uint32_t index);
     void finishJob(Job&, JobResult, TimePoint now);
     void suspect(Upstream&, TimePoint now);
@@ -142,8 +174,8 @@
     Options options_;
     RunTimeModel model_;
     std::map<UpstreamId, Upstream> upstreams_;
-    std::unordered_map<JobId, std::unique_ptr<Job>> jobs_;
-    std::unordered_map<SubmissionId, JobId> submissions_;
+    std::unordered_map<OccurrenceKey, std::unique_ptr<Job>> jobs_;
+    std::unordered_map<SubmissionId, OccurrenceKey> submissions_;
     // Runs on any upstream by task, including those of jobs that are finished here.
     std::unordered_map<TaskKey, std::uint32_t> liveRuns_;
     struct RecentJob {
@@ -151,7 +183,9 @@
         TimePoint forgetAt {};
     };
     // An upstream refuses run numbers up to that of an earlier run, also if the job was cancelled and comes again.
-    std::unordered_map<JobId, RecentJob> recentJobs_;
+    std::unordered_map<OccurrenceKey, RecentJob> recentJobs_;
+    TimePoint inheritedHeldUntil_ {};
+    ProgressMark lastMark_ {};
     ShardActions actions_;
 };
 
--- /dev/null
+++ b/libs/shards/src/JobBook.cpp
@@ -0,0 +1,336 @@
+#include "balsammill/shards/JobBook.h"
+
+#include <algorithm>
+
+namespace Balsammill::Shards {
+
+struct JobBook::Entry {
+    struct Occurrence {
+        bool completed { false };
+        JobProgress progress {};
+        // Newest progress of the engine that is not written yet.
+        std::optional<ProgressMark> unwritten {};
+    };
+
+    // Null once the state is final.
+    std::shared_ptr<const JobSpec> spec;
+    // Kept for the counts by queue after the specification is gone.
+    QueueName queue;
+    JobState state { JobState::Queued };
+    // What the client is shown: a final state only once it is written.
+    JobState shown { JobState::Queued };
+    bool accepted { false };
+    bool specWritten { false };
+    bool removing { false };
+    std::int64_t endedUnixMs { 0 };
+    std::map<std::uint32_t, Occurrence> occurrences;
+    std::uint32_t nextOccurrence { 0 };
+    bool restored { false };
+
+    std::uint32_t occurrenceCount() const { return spec->schedule ? spec->schedule->count : 1; }
+    std::int64_t dueUnixMs(std::uint32_t occurrence) const
+    {
+        if (!spec->schedule)
+            return 0;
+        const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(spec->schedule->interval).count();
+        return spec->schedule->firstRunUnixMs + interval * occurrence;
+    }
+};
+
+JobBook::JobBook()
+    : JobBook(Options {})
+{
+}
+JobBook::JobBook(const Options& options)
+    : options_(options)
+{
+}
+JobBook::~JobBook() = default;
+JobBook::JobBook(JobBook&&) noexcept = default;
+JobBook& JobBook::operator=(JobBook&&) noexcept = default;
+
+JobBook::Entry* JobBook::find(const JobId& id)
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : found->second.get();
+}
+
+const JobBook::Entry* JobBook::find(const JobId& id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : found->second.get();
+}
+
+void JobBook::restore(const JobId& id, std::shared_ptr<const JobSpec> spec, const std::optional<JobStateRecord>& record)
+{
+    // A state without a specification that is not final cannot be continued; nothing writes such a pair.
+    if (spec == nullptr && !(record && isFinal(record->state)))
+        return;
+    auto entry = std::make_unique<Entry>();
+    entry->specWritten = entry->restored = true;
+    if (spec != nullptr)
+        entry->queue = spec->queue;
+    if (record) {
+        entry->state = entry->shown = record->state;
+        entry->endedUnixMs = record->endedUnixMs;
+        for (const auto& each : record->occurrences)
+            entry->occurrences[each.occurrence] = { .completed = each.completed, .progress = each.progress };
+    }
+    setAccepted(*entry);
+    if (isFinal(entry->state)) {
+        --unfinished_;
+        ended_.emplace(entry->endedUnixMs, id);
+    } else {
+        entry->spec = std::move(spec);
+        unreleased_.insert(id);
+    }
+    entries_[id] = std::move(entry);
+}
+
+bool JobBook::submit(std::shared_ptr<const JobSpec> spec)
+{
+    const auto id = spec->id;
+    if (const auto* known = find(id))
+        return !known->accepted;
+    auto entry = std::make_unique<Entry>();
+    entry->queue = spec->queue;
+    entry->spec = std::move(spec);
+    entries_[id] = std::move(entry);
+    dirty_.insert(id);
+    urgent_ = true;
+    return true;
+}
+
+bool JobBook::knows(const JobId& id) const { return find(id) != nullptr; }
+
+std::optional<JobState> JobBook::stateOf(const JobId& id) const
+{
+    const auto* entry = find(id);
+    return entry == nullptr || !entry->accepted ? std::nullopt : std::optional(entry->shown);
+}
+
+bool JobBook::cancel(const JobId& id, std::int64_t nowUnixMs)
+{
+    auto* entry = find(id);
+    if (entry == nullptr || isFinal(entry->shown))
+        return false;
+    if (!isFinal(entry->state))
+        finish(*entry, JobState::Cancelled, nowUnixMs);
+    dirty_.insert(id);
+    return true;
+}
+
+void JobBook::setState(Entry& entry, JobState state)
+{
+    const auto waits = [&] { return entry.accepted && entry.state == JobState::Queued; };
+    const bool before = waits();
+    entry.state = state;
+    countWaiting(entry, before, waits());
+}
+
+void JobBook::setAccepted(Entry& entry)
+{
+    if (entry.accepted)
+        return;
+    entry.accepted = true;
+    ++unfinished_;
+    countWaiting(entry, false, entry.state == JobState::Queued);
+}
+
+void JobBook::countWaiting(const Entry& entry, bool before, bool after)
+{
+    if (before == after)
+        return;
+    auto& count = waiting_[entry.queue];
+    count += after ? 1 : -1;
+    if (count == 0)
+        waiting_.erase(entry.queue);
+}
+
+void JobBook::finish(Entry& entry, JobState state, std::int64_t nowUnixMs)
+{
+    setState(entry, state);
+    entry.endedUnixMs = nowUnixMs;
+    urgent_ = true;
+}
+
+void JobBook::noteStarted(const JobId& id)
+{
+    auto* entry = find(id);
+    if (entry == nullptr || entry->state != JobState::Queued)
+        return;
+    setState(*entry, JobState::Running);
+    entry->shown = JobState::Running;
+}
+
+void JobBook::noteProgress(const ProgressChanged& change)
+{
+    auto* entry = find(change.job.job);
+    if (entry == nullptr)
+        return;
+    entry->occurrences[change.job.occurrence].unwritten = change.mark;
+    dirty_.insert(change.job.job);
+}
+
+void JobBook::noteFinished(const OccurrenceKey& key, JobResult result, std::int64_t nowUnixMs)
+{
+    auto* entry = find(key.job);
+    if (entry == nullptr || isFinal(entry->state))
+        return;
+    if (result == JobResult::Completed) {
+        entry->occurrences[key.occurrence].completed = true;
+        const auto completed = std::count_if(entry->occurrences.begin(), entry->occurrences.end(),
+            [](const auto& each) { return each.second.completed; });
+        if (static_cast<std::uint32_t>(completed) == entry->occurrenceCount())
+            finish(*entry, JobState::Completed, nowUnixMs);
+    } else {
+        finish(*entry, JobState::Failed, nowUnixMs);
+    }
+    dirty_.insert(key.job);
+}
+
+std::vector<DueOccurrence> JobBook::takeDue(std::int64_t nowUnixMs)
+{
+    std::vector<DueOccurrence> due;
+    for (auto it = unreleased_.begin(); it != unreleased_.end();) {
+        auto& entry = *entries_.at(*it);
+        const auto count = isFinal(entry.state) ? 0 : entry.occurrenceCount();
+        while (entry.nextOccurrence < count && entry.dueUnixMs(entry.nextOccurrence) <= nowUnixMs) {
+            const auto number = entry.nextOccurrence++;
+            const auto known = entry.occurrences.find(number);
+            if (known != entry.occurrences.end() && known->second.completed)
+                continue;
+            DueOccurrence next {
+                .key = { .job = *it, .occurrence = number }, .spec = entry.spec, .dueUnixMs = entry.dueUnixMs(number)
+            };
+            if (entry.restored)
+                next.inherited = known == entry.occurrences.end() ? JobProgress {} : known->second.progress;
+            due.push_back(std::move(next));
+        }
+        it = entry.nextOccurrence >= count ? unreleased_.erase(it) : std::next(it);
+    }
+    return due;
+}
+
+void JobBook::expire(std::int64_t nowUnixMs)
+{
+    const auto retentionMs = std::chrono::duration_cast<std::chrono::milliseconds>(options_.retention).count();
+    while (!ended_.empty() && ended_.begin()->first + retentionMs <= nowUnixMs) {
+        const auto id = ended_.begin()->second;
+        ended_.erase(ended_.begin());
+        auto* entry = find(id);
+        if (entry == nullptr)
+            continue;
+        entry->removing = true;
+        dirty_.insert(id);
+    }
+}
+
+JobStateRecord JobBook::recordOf(const Entry& entry)
+{
+    JobStateRecord record { .state = entry.state, .endedUnixMs = entry.endedUnixMs };
+    if (isFinal(entry.state))
+        return record;
+    for (const auto& [number, occurrence] : entry.occurrences) {
+        OccurrenceRecord each { .occurrence = number, .completed = occurrence.completed };
+        if (!occurrence.completed)
+            each.progress = occurrence.progress;
+        record.occurrences.push_back(std::move(each));
+    }
+    return record;
+}
+
+JournalBatch JobBook::takeBatch(const ProgressReader& progressOf)
+{
+    JournalBatch batch;
+    std::size_t rows = 0;
+    std::size_t bytes = 0;
+    while (!dirty_.empty() && rows + 2 <= options_.maxRows && bytes < options_.maxBytes) {
+        const auto id = *dirty_.begin();
+        dirty_.erase(dirty_.begin());
+        auto* known = find(id);
+        if (known == nullptr)
+            continue;
+        auto& entry = *known;
+        JournalChange change { .job = id };
+        if (entry.removing) {
+            change.dropState = true;
+            batch.changes.push_back(std::move(change));
+            ++rows;
+            continue;
+        }
+        for (auto& [number, occurrence] : entry.occurrences) {
+            if (!occurrence.unwritten)
+                continue;
+            const OccurrenceKey key { .job = id, .occurrence = number };
+            if (auto progress = progressOf(key))
+                occurrence.progress = std::move(*progress);
+            batch.progress.push_back({ .job = key, .mark = *occurrence.unwritten });
+            occurrence.unwritten.reset();
+        }
+        const bool final = isFinal(entry.state);
+        if (!entry.specWritten && !final)
+            change.newSpec = entry.spec;
+        if (!entry.accepted)
+            batch.accepted.push_back(id);
+        if (final || !entry.occurrences.empty())
+            change.newState = recordOf(entry);
+        change.dropSpec = final && entry.specWritten;
+        if (final && !isFinal(entry.shown))
+            batch.ended.push_back(id);
+        rows += 2;
+        bytes += change.newSpec ? change.newSpec->payload.size() + 256 * change.newSpec->steps.size() : 256;
+        batch.changes.push_back(std::move(change));
+    }
+    urgent_ = urgent_ && !dirty_.empty();
+    return batch;
+}
+
+void JobBook::handleWritten(const JournalBatch& batch)
+{
+    for (const auto& change : batch.changes) {
+        auto* entry = find(change.job);
+        if (entry == nullptr)
+            continue;
+        if (change.dropState) {
+            entries_.erase(change.job);
+            continue;
+        }
+        entry->specWritten = (entry->specWritten || change.newSpec != nullptr) && !change.dropSpec;
+        if (!entry->accepted && !isFinal(entry->state))
+            unreleased_.insert(change.job);
+        setAccepted(*entry);
+        if (change.newState && isFinal(change.newState->state) && !isFinal(entry->shown)) {
+            --unfinished_;
+            entry->shown = change.newState->state;
+            entry->spec.reset();
+            entry->occurrences.clear();
+            unreleased_.erase(change.job);
+            ended_.emplace(entry->endedUnixMs, change.job);
+        }
+    }
+}
+
+void JobBook::handleRefused(const JournalBatch& batch)
+{
+    for (const auto& change : batch.changes) {
+        auto* entry = find(change.job);
+        if (entry == nullptr)
+            continue;
+        if (!entry->accepted) {
+            entries_.erase(change.job);
+            continue;
+        }
+        dirty_.insert(change.job);
+        urgent_ = urgent_ || isFinal(entry->state);
+    }
+    for (const auto& progress : batch.progress) {
+        auto* entry = find(progress.job.job);
+        if (entry == nullptr)
+            continue;
+        auto& unwritten = entry->occurrences[progress.job.occurrence].unwritten;
+        unwritten = std::max(unwritten.value_or(progress.mark), progress.mark);
+    }
+}
+
+} // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -12,6 +12,8 @@
 constexpr Duration recentJobKept = std::chrono::seconds(15);
 // How far a run number jumps after a refusal that does not tell the upstream's own number.
 constexpr std::uint64_t runNumberJump = 8;
+// Assumed for a task that runs until its job is cancelled: longer than any plan looks ahead.
+constexpr Duration lastingRunTime = std::chrono::hours(1);
 
 } // namespace
 
@@ -26,49 +28,65 @@
 
 Duration ShardEngine::Job::expectedRunTime(const RunTimeModel& model, std::uint32_t step) const
 {
+    if (spec->longRunning)
+        return lastingRunTime;
     const auto& record = steps[step];
     if (record.observations > 0)
         return record.observed / record.observations;
     return model.predict(*spec, spec->steps[step]);
 }
 
-ShardEngine::Job* ShardEngine::findJob(const JobId& id)
+ShardEngine::Job* ShardEngine::findJob(const OccurrenceKey& key)
 {
-    const auto found = jobs_.find(id);
+    const auto found = jobs_.find(key);
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-void ShardEngine::submit(
-    SubmissionId submission, std::shared_ptr<const JobSpec> spec, TimePoint arrivedAt, TimePoint answerBy)
+const ShardEngine::Job* ShardEngine::findJob(const OccurrenceKey& key) const
+{
+    const auto found = jobs_.find(key);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+ShardEngine::Job& ShardEngine::addJob(
+    const OccurrenceKey& key, std::shared_ptr<const JobSpec> spec, TimePoint arrivedAt)
 {
-    if (auto* existing = findJob(spec->id)) {
-        actions_.emplace_back(
-            FinishJob { .submission = existing->submission, .job = spec->id, .result = JobResult::Superseded });
-        submissions_.erase(existing->submission);
-        existing->submission = submission;
-        existing->answerBy = answerBy;
-        submissions_[submission] = spec->id;
-        return;
-    }
     auto job = std::make_unique<Job>();
-    job->submission = submission;
+    job->key = key;
     job->submittedAt = arrivedAt;
-    job->answerBy = answerBy;
-    const auto longestChain = chain(*spec);
     job->objectiveAt = arrivedAt + spec->targetOverhead
-        + Duration(static_cast<Duration::rep>(spec->stretch * static_cast<double>(longestChain.count())));
+        + Duration(static_cast<Duration::rep>(spec->stretch * static_cast<double>(chain(*spec).count())));
     for (const auto& step : spec->steps) {
         job->steps.emplace_back();
         job->steps.back().tasks.resize(step.count);
         job->steps.back().waiting = step.count;
     }
-    const auto recent = recentJobs_.find(spec->id);
+    const auto recent = recentJobs_.find(key);
     if (recent != recentJobs_.end())
         job->runFloor = job->highestRun = recent->second.highestRun;
-    submissions_[submission] = spec->id;
-    const auto id = spec->id;
     job->spec = std::move(spec);
-    jobs_[id] = std::move(job);
+    auto& added = *job;
+    jobs_[key] = std::move(job);
+    return added;
+}
+
+void ShardEngine::submit(
+    SubmissionId submission, std::shared_ptr<const JobSpec> spec, TimePoint arrivedAt, TimePoint answerBy)
+{
+    const OccurrenceKey key { .job = spec->id };
+    if (auto* existing = findJob(key)) {
+        actions_.emplace_back(
+            FinishJob { .submission = existing->submission, .job = key, .result = JobResult::Superseded });
+        submissions_.erase(existing->submission);
+        existing->submission = submission;
+        existing->answerBy = answerBy;
+        submissions_[submission] = key;
+        return;
+    }
+    auto& job = addJob(key, std::move(spec), arrivedAt);
+    job.submission = submission;
+    job.answerBy = answerBy;
+    submissions_[submission] = key;
 }
 
 void ShardEngine::cancel(SubmissionId submission, TimePoint now)
@@ -76,24 +94,29 @@
     const auto found = submissions_.find(submission);
     if (found == submissions_.end())
         return;
-    auto* job = findJob(found->second);
+    const auto key = found->second;
     submissions_.erase(found);
+    const auto* job = findJob(key);
     if (job == nullptr)
         return;
-    const auto id = job->spec->id;
-    for (auto& [upstreamId, upstream] : upstreams_) {
+    stopRuns(key, now);
+    recentJobs_[key] = { .highestRun = job->highestRun, .forgetAt = now + recentJobKept };
+    jobs_.erase(key);
+}
+
+void ShardEngine::stopRuns(const OccurrenceKey& job, TimePoint now)
+{
+    for (auto& [id, upstream] : upstreams_) {
         for (auto& [key, run] : upstream.runs) {
-            if (run.job == id)
+            if (run.job == job)
                 stopRun(upstream, run, now);
         }
     }
-    recentJobs_[id] = { .highestRun = job->highestRun, .forgetAt = now + recentJobKept };
-    jobs_.erase(id);
 }
 
 void ShardEngine::stopRun(Upstream& upstream, Run& run, TimePoint now)
 {
-    run.job = JobId();
+    run.job = OccurrenceKey();
     if (run.state == RunState::Stopping)
         return;
     run.state = RunState::Stopping;
@@ -141,7 +164,7 @@
     if (refusal == StartRefusal::Unhealthy)
         suspect(upstream, now);
     if (refusal == StartRefusal::OldRun) {
-        if (auto* job = findJob(key.job))
+        if (auto* job = findJob(key.occurrenceKey()))
             job->runFloor.value = std::max(job->runFloor.value, number.value + runNumberJump);
     }
     handleNeverStarted(id, key, number, now);
@@ -169,124 +192,21 @@
         return;
     const bool wanted = !run->second.job.empty();
     dropRun(found->second, key, now);
-    if (auto* job = findJob(key.job); wanted && job != nullptr)
+    if (auto* job = findJob(key.occurrenceKey()); wanted && job != nullptr)
         retryTask(*job, key.step, key.index);
 }
 
-void ShardEngine::retryTask(Job& job, std::uint32_t stepIndex, std::uint32_t index)
-{
-    auto& step = job.steps[stepIndex];
-    auto& task = step.tasks[index];
-    if (task.state != Task::State::Active)
-        return;
-    task.state = Task::State::Waiting;
-    --step.active;
-    ++step.waiting;
-}
-
-void ShardEngine::finishRun(Upstream& upstream, const EndedTask& end, TimePoint now)
-{
-    const auto found = upstream.runs.find(end.task);
-    if (found == upstream.runs.end() || found->second.number != end.run)
-        return;
-    const Run run = found->second;
-    dropRun(upstream, end.task, now);
-    auto* job = run.job.empty() ? nullptr : findJob(run.job);
-    if (job == nullptr)
-        return;
-    const auto step = end.task.step;
-    const auto index = end.task.index;
-    if (job->spec->steps[step].checkpoints && !end.checkpoint.empty())
-        job->steps[step].tasks[index].checkpoint = end.checkpoint;
-    switch (end.how) {
-    case RunEnd::Done:
-        completeTask(*job, step, index, upstream, run, now);
-        return;
-    case RunEnd::Failed:
-        failTask(*job, step, index, upstream, now);
-        return;
-    case RunEnd::Stopped:
-    case RunEnd::LeaseLapsed:
-    case RunEnd::GangBroken:
-    case RunEnd::GangIncomplete:
-        retryTask(*job, step, index);
-        return;
-    }
-}
-
-void ShardEngine::completeTask(
-    Job& job, std::uint32_t stepIndex, std::uint32_t index, const Upstream& upstream, const Run& run, TimePoint now)
-{
-    auto& step = job.steps[stepIndex];
-    const auto& spec = job.spec->steps[stepIndex];
-    const auto took = now - run.orderedAt;
-    step.observed
-        += Duration(static_cast<Duration::rep>(static_cast<double>(took.count()) / model_.slowness(upstream.info.id)));
-    ++step.observations;
-    model_.record(*job.spec, spec, upstream.info.id, took);
-    auto& record = upstreams_.at(upstream.info.id);
-    record.consecutiveFailures = 0;
-    record.suspicion = Duration::zero();
-    record.onProbation = false;
-
-    auto& task = step.tasks[index];
-    if (task.state == Task::State::Active)
-        --step.active;
-    else if (task.state == Task::State::Waiting)
-        --step.waiting;
-    if (task.state != Task::State::Done)
-        ++step.done;
-    task.state = Task::State::Done;
-    if (spec.gang) {
-        // One end stands for all members.
-        for (auto& member : step.tasks)
-            member.state = Task::State::Done;
-        step.done = spec.count;
-        step.waiting = 0;
-        step.active = 0;
-    }
-    const bool finished = std::all_of(
-        job.steps.begin(), job.steps.end(), [](const Step& each) { return each.done == each.tasks.size(); });
-    if (finished)
-        finishJob(job, JobResult::Completed, now);
-}
-
-void ShardEngine::failTask(Job& job, std::uint32_t stepIndex, std::uint32_t index, Upstream& upstream, TimePoint now)
-{
-    auto& task = job.steps[stepIndex].tasks[index];
-    // Tasks that fail wherever they run say nothing about the upstream, so only a task's first failure counts.
-    if (task.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
-        suspect(upstream, now);
-    ++task.failures;
-    actions_.emplace_back(TaskFailed { .upstream = upstream.info.id,
-        .task = { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index },
-        .run = task.run,
-        .failures = task.failures,
-        .maxAttempts = job.spec->maxAttempts });
-    task.avoid = upstream.info.id;
-    if (task.failures >= job.spec->maxAttempts) {
-        finishJob(job, JobResult::Failed, now);
-        return;
-    }
-    retryTask(job, stepIndex, index);
-}
-
 void ShardEngine::finishJob(Job& job, JobResult result, TimePoint now)
 {
-    const auto id = job.spec->id;
+    const auto key = job.key;
     actions_.emplace_back(FinishJob { .submission = job.submission,
-        .job = id,
+        .job = key,
         .result = result,
         .waited = job.started ? job.lastStartAt - job.submittedAt : now - job.submittedAt });
-    for (auto& [upstreamId, upstream] : upstreams_) {
-        for (auto& [key, run] : upstream.runs) {
-            if (run.job == id)
-                stopRun(upstream, run, now);
-        }
-    }
-    recentJobs_[id] = { .highestRun = job.highestRun, .forgetAt = now + recentJobKept };
+    stopRuns(key, now);
+    recentJobs_[key] = { .highestRun = job.highestRun, .forgetAt = now + recentJobKept };
     submissions_.erase(job.submission);
-    jobs_.erase(id);
+    jobs_.erase(key);
 }
 
 ShardActions ShardEngine::takeActions()
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -19,10 +19,13 @@
 struct ShardEngine::Run {
     RunNumber number {};
     // Empty if no job waits for it.
-    JobId job {};
+    OccurrenceKey job {};
+    UpstreamId upstream {};
     Resources need {};
     // Started by an earlier owner: how much room it uses is not known.
     bool foreign { false };
+    // Belongs to a job that was left to the next owner, which has to hear of the end.
+    bool relinquished { false };
     RunState state { RunState::Ordered };
     TimePoint orderedAt {};
     // Once the upstream has confirmed the start.
@@ -31,6 +34,13 @@
     TimePoint stopSentAt {};
 };
 
+// An end that was counted and is not in the store yet.
+struct UnrecordedEnd {
+    std::uint64_t sequence { 0 };
+    OccurrenceKey job {};
+    ProgressMark mark {};
+};
+
 struct ShardEngine::Upstream {
     UpstreamInfo info;
     Resources room;
@@ -38,6 +48,7 @@
     // Runs of earlier owners; the room is not known while there is one.
     std::uint32_t foreignRuns { 0 };
     std::uint64_t lastEndHandled { 0 };
+    std::vector<UnrecordedEnd> unrecorded;
     bool registered { true };
     bool reachable { true };
     // When its first report under the owner's fencing token arrived.
@@ -59,6 +70,11 @@
     };
     State state { State::Waiting };
     std::uint32_t failures { 0 };
+    // Highest run whose end has been counted.
+    RunNumber countedRun {};
+    // Earliest next start of a task that keeps ending soon after its start.
+    TimePoint notBefore {};
+    Duration restartPause {};
     // Runs that were stopped because they took too long.
     std::uint32_t overdueStops { 0 };
     RunNumber run;
@@ -78,6 +94,7 @@
 };
 
 struct ShardEngine::Job {
+    OccurrenceKey key;
     SubmissionId submission;
     std::shared_ptr<const JobSpec> spec;
     std::vector<Step> steps;
@@ -90,7 +107,13 @@
     // An upstream may refuse run numbers up to this one.
     RunNumber runFloor {};
     bool started { false };
+    // Accepted by an earlier owner, which may have started tasks that no upstream has reported yet.
+    bool inherited { false };
 
+    TaskKey taskKey(std::uint32_t step, std::uint32_t index) const
+    {
+        return { .job = key.job, .occurrence = key.occurrence, .step = step, .index = index };
+    }
     // Expected run time of a task, by its completed siblings if there are any.
     Duration expectedRunTime(const RunTimeModel&, std::uint32_t step) const;
     // Without a start until then, the job ends too late to be of use.
--- /dev/null
+++ b/libs/shards/src/ShardEngineEnds.cpp
@@ -0,0 +1,167 @@
+#include "ShardEngineDetail.h"
+
+#include <algorithm>
+
+namespace Balsammill::Shards {
+
+namespace {
+
+// Pause before a task starts again that has to run all the time and ended soon after its start; doubled while it goes
+// on so. The longest still lets it come back well within the 6 s that operators allow for a restart.
+constexpr Duration firstRestartPause = std::chrono::milliseconds(100);
+constexpr Duration longestRestartPause = std::chrono::seconds(2);
+// A run that lasted this long was no failed start.
+constexpr Duration soundRun = std::chrono::seconds(5);
+
+} // namespace
+
+void ShardEngine::retryTask(Job& job, std::uint32_t stepIndex, std::uint32_t index)
+{
+    auto& step = job.steps[stepIndex];
+    auto& task = step.tasks[index];
+    if (task.state != Task::State::Active)
+        return;
+    task.state = Task::State::Waiting;
+    --step.active;
+    ++step.waiting;
+}
+
+void ShardEngine::finishRun(Upstream& upstream, const EndedTask& end, TimePoint now)
+{
+    const auto found = upstream.runs.find(end.task);
+    if (found == upstream.runs.end() || found->second.number != end.run) {
+        // An earlier owner's run may have ended before this one could adopt it.
+        auto* job = findJob(end.task.occurrenceKey());
+        if (job != nullptr && job->spec->durable)
+            applyEnd(*job, upstream, end, nullptr, now);
+        return;
+    }
+    const Run run = found->second;
+    dropRun(upstream, end.task, now);
+    if (run.relinquished) {
+        upstream.unrecorded.push_back({ .sequence = end.sequence });
+        return;
+    }
+    if (auto* job = run.job.empty() ? nullptr : findJob(run.job))
+        applyEnd(*job, upstream, end, &run, now);
+}
+
+void ShardEngine::applyEnd(Job& job, Upstream& upstream, const EndedTask& end, const Run* tracked, TimePoint now)
+{
+    const auto key = end.task;
+    if (key.step >= job.steps.size() || key.index >= job.steps[key.step].tasks.size())
+        return;
+    const auto& spec = job.spec->steps[key.step];
+    auto& task = job.steps[key.step].tasks[key.index];
+    if (spec.checkpoints && !end.checkpoint.empty())
+        task.checkpoint = end.checkpoint;
+    if (job.spec->longRunning) {
+        if (tracked != nullptr)
+            restartTask(job, key, *tracked, now);
+        return;
+    }
+    const bool counts = end.how == RunEnd::Done || end.how == RunEnd::Failed;
+    if (!counts) {
+        if (tracked != nullptr)
+            retryTask(job, key.step, key.index);
+        return;
+    }
+    // The end of one run is listed again until it is acknowledged, also to a later owner.
+    if (task.state == Task::State::Done || end.run <= task.countedRun)
+        return;
+    task.countedRun = end.run;
+    // Comes before a FinishJob, so that both go into one batch.
+    if (job.spec->durable)
+        noteUnrecorded(upstream, end);
+    if (end.how == RunEnd::Done) {
+        if (tracked != nullptr)
+            learnRunTime(job, upstream, key, *tracked, now);
+        completeTask(job, key, now);
+    } else {
+        failTask(job, end, upstream, tracked != nullptr, now);
+    }
+}
+
+void ShardEngine::learnRunTime(Job& job, Upstream& upstream, const TaskKey& key, const Run& run, TimePoint now)
+{
+    auto& step = job.steps[key.step];
+    const auto took = now - run.orderedAt;
+    step.observed
+        += Duration(static_cast<Duration::rep>(static_cast<double>(took.count()) / model_.slowness(upstream.info.id)));
+    ++step.observations;
+    model_.record(*job.spec, job.spec->steps[key.step], upstream.info.id, took);
+    upstream.consecutiveFailures = 0;
+    upstream.suspicion = Duration::zero();
+    upstream.onProbation = false;
+}
+
+void ShardEngine::completeTask(Job& job, const TaskKey& key, TimePoint now)
+{
+    auto& step = job.steps[key.step];
+    auto& task = step.tasks[key.index];
+    if (task.state == Task::State::Active)
+        --step.active;
+    else
+        --step.waiting;
+    ++step.done;
+    task.state = Task::State::Done;
+    stopOtherRuns(key, now);
+    if (job.spec->steps[key.step].gang) {
+        // One end stands for all members.
+        for (auto& member : step.tasks)
+            member.state = Task::State::Done;
+        step.done = job.spec->steps[key.step].count;
+        step.waiting = 0;
+        step.active = 0;
+    }
+    const bool finished = std::all_of(
+        job.steps.begin(), job.steps.end(), [](const Step& each) { return each.done == each.tasks.size(); });
+    if (finished)
+        finishJob(job, JobResult::Completed, now);
+}
+
+void ShardEngine::stopOtherRuns(const TaskKey& task, TimePoint now)
+{
+    for (auto& [id, upstream] : upstreams_) {
+        const auto run = upstream.runs.find(task);
+        if (run != upstream.runs.end() && !run->second.job.empty())
+            stopRun(upstream, run->second, now);
+    }
+}
+
+void ShardEngine::failTask(Job& job, const EndedTask& end, Upstream& upstream, bool tracked, TimePoint now)
+{
+    const auto key = end.task;
+    auto& task = job.steps[key.step].tasks[key.index];
+    // Tasks that fail wherever they run say nothing about the upstream, so only a task's first failure counts.
+    if (task.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
+        suspect(upstream, now);
+    ++task.failures;
+    actions_.emplace_back(TaskFailed { .upstream = upstream.info.id,
+        .task = key,
+        .run = end.run,
+        .failures = task.failures,
+        .maxAttempts = job.spec->maxAttempts });
+    task.avoid = upstream.info.id;
+    if (task.failures >= job.spec->maxAttempts) {
+        finishJob(job, JobResult::Failed, now);
+        return;
+    }
+    if (tracked)
+        retryTask(job, key.step, key.index);
+}
+
+void ShardEngine::restartTask(Job& job, const TaskKey& key, const Run& run, TimePoint now)
+{
+    auto& task = job.steps[key.step].tasks[key.index];
+    if (now - run.orderedAt >= soundRun) {
+        task.restartPause = Duration::zero();
+    } else {
+        task.restartPause = std::clamp(task.restartPause * 2, firstRestartPause, longestRestartPause);
+        task.notBefore = now + task.restartPause;
+        task.avoid = run.upstream;
+    }
+    retryTask(job, key.step, key.index);
+}
+
+} // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -34,8 +34,10 @@
     // A registration is up to a heartbeat old, so it may still be that of an earlier incarnation.
     if (info.bornMs != 0 && knownBorn != 0 && info.bornMs < knownBorn)
         return;
-    if (info.bornMs > knownBorn && knownBorn != 0)
+    if (info.bornMs > knownBorn && knownBorn != 0) {
+        upstream.unrecorded.clear();
         handleLeaseExpired(info.id, now);
+    }
     Resources used = upstream.info.capacity;
     used -= upstream.room;
     upstream.info = info;
@@ -72,8 +74,10 @@
     auto& upstream = found->second;
     if (report.bornMs != 0 && report.bornMs < upstream.info.bornMs)
         return;
-    if (upstream.info.bornMs != 0 && report.bornMs > upstream.info.bornMs)
+    if (upstream.info.bornMs != 0 && report.bornMs > upstream.info.bornMs) {
+        upstream.unrecorded.clear();
         handleLeaseExpired(id, now);
+    }
     if (report.bornMs != 0)
         upstream.info.bornMs = report.bornMs;
     for (const auto& end : report.ended) {
@@ -93,6 +97,8 @@
         }
         if (run != upstream.runs.end() && run->second.number > running.run)
             continue;
+        if (run == upstream.runs.end() && adoptRun(upstream, running, now))
+            continue;
         // Started by an earlier owner of the shard, or too late: whoever asked for it has been answered.
         actions_.emplace_back(StopTask { .upstream = id, .task = running.task, .run = running.run });
         if (run == upstream.runs.end()) {
@@ -165,7 +171,7 @@
         if (run.state != RunState::Running || run.job.empty())
             continue;
         auto* job = findJob(run.job);
-        if (job == nullptr || job->spec->steps[key.step].gang)
+        if (job == nullptr || job->spec->steps[key.step].gang || job->spec->longRunning)
             continue;
         const auto expected = job->expectedRunTime(model_, key.step);
         auto& task = job->steps[key.step].tasks[key.index];
@@ -214,7 +220,9 @@
 bool ShardEngine::isBusy(const UpstreamId& id) const
 {
     const auto found = upstreams_.find(id);
-    return found != upstreams_.end() && !found->second.runs.empty();
+    return found != upstreams_.end()
+        && std::any_of(found->second.runs.begin(), found->second.runs.end(),
+            [](const auto& entry) { return !entry.second.relinquished; });
 }
 
 bool ShardEngine::isConfirmed(const UpstreamId& id) const
@@ -223,12 +231,6 @@
     return found != upstreams_.end() && found->second.confirmed;
 }
 
-std::uint64_t ShardEngine::lastEndHandled(const UpstreamId& id) const
-{
-    const auto found = upstreams_.find(id);
-    return found == upstreams_.end() ? 0 : found->second.lastEndHandled;
-}
-
 ShardLoad ShardEngine::load() const
 {
     ShardLoad load;
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace Balsammill::Shards {
 
@@ -75,7 +76,7 @@
             continue;
         if (step.maxPerUpstream > 0) {
             const auto there = std::count_if(upstream.runs.begin(), upstream.runs.end(),
-                [&](const auto& run) { return run.first.job == job.spec->id && run.first.step == stepIndex; });
+                [&](const auto& run) { return run.first.occurrenceKey() == job.key && run.first.step == stepIndex; });
             if (there >= step.maxPerUpstream)
                 continue;
         }
@@ -100,7 +101,7 @@
     auto& step = job.steps[stepIndex];
     auto& task = step.tasks[index];
     const auto& spec = job.spec->steps[stepIndex];
-    const TaskKey key { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index };
+    const auto key = job.taskKey(stepIndex, index);
     const auto expected = job.expectedRunTime(model_, stepIndex);
     const auto there = Duration(
         static_cast<Duration::rep>(static_cast<double>(expected.count()) * model_.slowness(upstream.info.id)));
@@ -117,7 +118,8 @@
     upstream.room -= spec.need;
     upstream.runs.emplace(key,
         Run { .number = number,
-            .job = job.spec->id,
+            .job = job.key,
+            .upstream = upstream.info.id,
             .need = spec.need,
             .state = RunState::Ordered,
             .orderedAt = now,
@@ -144,10 +146,10 @@
     auto& step = job.steps[stepIndex];
     for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index) {
         auto& task = step.tasks[index];
-        if (task.state != Task::State::Waiting)
+        if (task.state != Task::State::Waiting || now < task.notBefore)
             continue;
         // Another run of the task may still be ending elsewhere.
-        if (liveRuns_.contains(TaskKey { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index }))
+        if (liveRuns_.contains(job.taskKey(stepIndex, index)))
             continue;
         auto* upstream = choose(job, stepIndex, task, blocked.reserved, now);
         if (upstream == nullptr)
@@ -166,7 +168,7 @@
     if (step.active > 0)
         return true;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        if (liveRuns_.contains(TaskKey { .job = job.spec->id, .occurrence = 0, .step = stepIndex, .index = index }))
+        if (liveRuns_.contains(job.taskKey(stepIndex, index)))
             return true;
     }
     std::vector<Upstream*> members;
@@ -219,15 +221,17 @@
 std::vector<ShardEngine::Place> ShardEngine::jobsInOrder(TimePoint now) const
 {
     std::vector<Place> order;
-    for (const auto& [id, job] : jobs_) {
+    for (const auto& [key, job] : jobs_) {
         bool waits = false;
         for (std::uint32_t i = 0; i < job->steps.size(); ++i)
             waits = waits || stepIsReady(*job, i);
-        if (!waits)
+        if (!waits || (job->inherited && now < inheritedHeldUntil_))
             continue;
-        const auto latestStart = job->objectiveAt - remainingChain(*job);
+        // A task that has to run all the time is missed from the moment it is not there.
+        const bool lasting = job->spec->longRunning;
+        const auto latestStart = lasting ? job->submittedAt : job->objectiveAt - remainingChain(*job);
         // A job that has begun keeps its place, so that the work done for it is not wasted by waiting.
-        order.push_back({ .late = latestStart < now && !job->started,
+        order.push_back({ .late = latestStart < now && !job->started && !lasting,
             .latestStart = latestStart,
             .job = job.get(),
             .spec = job->spec.get() });
@@ -235,7 +239,7 @@
     std::sort(order.begin(), order.end(), [](const Place& a, const Place& b) {
         if (a.before(b) != b.before(a))
             return a.before(b);
-        return a.job->submission < b.job->submission;
+        return std::tie(a.job->submission, a.job->key) < std::tie(b.job->submission, b.job->key);
     });
     return order;
 }
@@ -382,7 +386,7 @@
     const auto planned = plan(order, *firstLate->spec, now);
     for (std::size_t i = 0; i < planned.order.size(); ++i) {
         const auto& place = planned.order[i];
-        if (place.late && planned.endAt[i] > place.job->uselessAfter())
+        if (place.late && !place.job->spec->durable && planned.endAt[i] > place.job->uselessAfter())
             finishJob(*place.job, JobResult::NotRun, now);
     }
 }
--- /dev/null
+++ b/libs/shards/tests/DurableJobTests.cpp
@@ -0,0 +1,197 @@
+#include "EngineFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace Balsammill;
+using namespace Balsammill::Shards;
+using namespace Balsammill::Shards::Testing;
+
+namespace {
+
+const UpstreamId u1 { "u1" };
+const UpstreamId u2 { "u2" };
+
+std::shared_ptr<const JobSpec> durable(const JobOptions& options)
+{
+    auto spec = makeSpec(options);
+    spec.durable = true;
+    return std::make_shared<const JobSpec>(spec);
+}
+
+OccurrenceKey keyOf(const JobOptions& options) { return { .job = JobId(options.id) }; }
+
+UpstreamReport listing(const std::vector<RunningTask>& running, const std::vector<EndedTask>& ended = {})
+{
+    return { .bornMs = 1000, .running = running, .ended = ended };
+}
+
+TaskKey task(std::uint32_t index) { return { .job = JobId(JobOptions {}.id), .index = index }; }
+
+} // namespace
+
+// Guards against an upstream that forgets an end before the store has it: a later owner would run the task again.
+TEST_CASE("The end of a task of a durable job is acknowledged only once it is recorded")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1"));
+    fixture.engine.submitDurable(keyOf({}), durable({ .tasks = 2 }), at(0));
+    const auto starts = fixture.scheduled<StartTask>(0);
+    REQUIRE_EQ(starts.size(), 2);
+    for (const auto& start : starts)
+        fixture.started(start, 1);
+    fixture.ended(starts[0], 1, RunEnd::Done, 100);
+    auto changes = fixture.taken<ProgressChanged>();
+    REQUIRE_EQ(changes.size(), 1);
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 0);
+    CHECK(fixture.engine.hasUnrecordedEnds(u1));
+    const auto progress = fixture.engine.progressOf(keyOf({}));
+    REQUIRE(progress);
+    CHECK(progress->steps[0][0].done);
+    CHECK_FALSE(progress->steps[0][1].done);
+    fixture.engine.handleRecorded(changes[0].job, changes[0].mark);
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 1);
+    CHECK_FALSE(fixture.engine.hasUnrecordedEnds(u1));
+    // The last end of the job, too.
+    fixture.ended(starts[1], 2, RunEnd::Done, 120);
+    const auto actions = fixture.engine.takeActions();
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 1);
+    bool finished = false;
+    for (const auto& action : actions) {
+        if (const auto* end = std::get_if<FinishJob>(&action))
+            finished = end->result == JobResult::Completed && end->job == keyOf({});
+        if (const auto* change = std::get_if<ProgressChanged>(&action))
+            fixture.engine.handleRecorded(change->job, change->mark);
+    }
+    CHECK(finished);
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 2);
+}
+
+// Guards against two runs of a task at a time: the lost owner may have started tasks that are not reported yet.
+TEST_CASE("An inherited job adopts what runs, and waits with the rest until every lease of the lost owner is over")
+{
+    EngineFixture fixture;
+    fixture.engine.holdInherited(at(1'200));
+    fixture.engine.inheritDurable(keyOf({}), durable({ .tasks = 3 }), at(0), {});
+    fixture.engine.updateUpstream(makeUpstream("u1"), at(0));
+    const RunningTask running { .task = task(1), .run = RunNumber(4), .checkpoint = {} };
+    for (const int time : { 10, 80 })
+        fixture.engine.handleReport(u1, listing({ running }), at(time), at(time));
+    CHECK(fixture.scheduled<StopTask>(80).empty());
+    CHECK(fixture.scheduled<StartTask>(90).empty());
+    CHECK(fixture.engine.isBusy(u1));
+    const auto starts = fixture.scheduled<StartTask>(1'200);
+    REQUIRE_EQ(starts.size(), 2);
+    for (const auto& start : starts) {
+        CHECK_NE(start.task.index, 1);
+        CHECK_GT(start.run.value, 4);
+    }
+}
+
+// Guards against a task that runs again although it has ended: its end is listed until it is acknowledged.
+TEST_CASE("Ends of a lost owner's runs count, once each")
+{
+    EngineFixture fixture;
+    fixture.engine.holdInherited(at(1'200));
+    // The failure of run 1 was recorded, but not acknowledged.
+    const JobProgress known { .steps = { { { .failures = 1, .countedRun = RunNumber(1) }, {} } } };
+    fixture.engine.inheritDurable(keyOf({}), durable({ .tasks = 2, .maxAttempts = 2 }), at(0), known);
+    fixture.engine.updateUpstream(makeUpstream("u1"), at(0));
+    const std::vector<EndedTask> ended {
+        { .sequence = 1, .task = task(0), .run = RunNumber(1), .how = RunEnd::Failed, .checkpoint = {} },
+        { .sequence = 2, .task = task(1), .run = RunNumber(1), .how = RunEnd::Done, .checkpoint = {} },
+        { .sequence = 3, .task = task(0), .run = RunNumber(2), .how = RunEnd::Done, .checkpoint = {} },
+    };
+    for (const int time : { 10, 80 })
+        fixture.engine.handleReport(u1, listing({}, ended), at(time), at(time));
+    const auto actions = fixture.engine.takeActions();
+    std::size_t changes = 0;
+    std::vector<JobResult> results;
+    for (const auto& action : actions) {
+        changes += std::holds_alternative<ProgressChanged>(action) ? 1 : 0;
+        if (const auto* finished = std::get_if<FinishJob>(&action))
+            results.push_back(finished->result);
+    }
+    CHECK_EQ(changes, 2);
+    CHECK_EQ(results, std::vector { JobResult::Completed });
+    // Sequence 1 was in the store already; the others are not yet.
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 1);
+}
+
+// Guards against work that is stopped or lost when a shard is handed over at a planned stop.
+TEST_CASE("A shard that is handed over leaves durable jobs running, and their ends unacknowledged")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1"));
+    fixture.engine.submitDurable(keyOf({}), durable({ .tasks = 2 }), at(0));
+    const auto starts = fixture.scheduled<StartTask>(0);
+    REQUIRE_EQ(starts.size(), 2);
+    for (const auto& start : starts)
+        fixture.started(start, 1);
+    fixture.engine.relinquishDurable();
+    CHECK(fixture.taken<StopTask>().empty());
+    CHECK_FALSE(fixture.engine.isBusy(u1));
+    CHECK(fixture.engine.needsLease(u1, at(10)));
+    CHECK_EQ(fixture.engine.waitingTasks(), 0);
+    fixture.ended(starts[0], 1, RunEnd::Done, 100);
+    CHECK(fixture.taken<ProgressChanged>().empty());
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 0);
+}
+
+// Guards against a lasting task that stays away, and against a loop of starts where it cannot run.
+TEST_CASE("A task that lasts starts again however it ends, after a pause if it ended soon")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1"));
+    fixture.addUpstream(makeUpstream("u2"));
+    auto spec = makeSpec({ .maxAttempts = 1 });
+    spec.durable = spec.longRunning = true;
+    fixture.engine.submitDurable(keyOf({}), std::make_shared<const JobSpec>(spec), at(0));
+    auto starts = fixture.scheduled<StartTask>(0);
+    REQUIRE_EQ(starts.size(), 1);
+    const auto firstUpstream = starts[0].upstream;
+    fixture.started(starts[0], 1);
+    fixture.ended(starts[0], 1, RunEnd::Failed, 50);
+    CHECK(fixture.taken<FinishJob>().empty());
+    CHECK(fixture.scheduled<StartTask>(60).empty());
+    starts = fixture.scheduled<StartTask>(160);
+    REQUIRE_EQ(starts.size(), 1);
+    CHECK_NE(starts[0].upstream, firstUpstream);
+    fixture.started(starts[0], 161);
+    fixture.engine.advance(at(60'000));
+    CHECK(fixture.taken<StopTask>().empty());
+    fixture.ended(starts[0], 1, RunEnd::Done, 60'000);
+    CHECK_EQ(fixture.scheduled<StartTask>(60'001).size(), 1);
+}
+
+// Guards against a job that a client was promised and that is given up in an overload.
+TEST_CASE("A durable job that is late is placed behind the others and not given up")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 16'000));
+    fixture.engine.submitDurable(keyOf({}), durable({ .milliCores = 14'000 }), at(0));
+    fixture.submit({ .id = "00000000000000b1", .milliCores = 14'000 }, 9'990);
+    fixture.engine.advance(at(10'000));
+    CHECK(fixture.taken<FinishJob>().empty());
+    const auto starts = fixture.scheduled<StartTask>(10'000);
+    REQUIRE_EQ(starts.size(), 1);
+    CHECK_EQ(starts[0].task.job, JobId("00000000000000b1"));
+    fixture.started(starts[0], 10'001);
+    fixture.ended(starts[0], 1, RunEnd::Done, 10'100);
+    CHECK_EQ(fixture.scheduled<StartTask>(10'100).size(), 1);
+}
+
+// Guards against tasks of a cancelled job that go on.
+TEST_CASE("A cancelled durable job starts nothing, and what runs is stopped")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 16'000));
+    fixture.engine.submitDurable(keyOf({}), durable({ .tasks = 2, .milliCores = 14'000 }), at(0));
+    const auto starts = fixture.scheduled<StartTask>(0);
+    REQUIRE_EQ(starts.size(), 1);
+    fixture.started(starts[0], 1);
+    fixture.engine.cancelDurable(JobId(JobOptions {}.id), at(10));
+    CHECK_EQ(fixture.taken<StopTask>().size(), 1);
+    fixture.ended(starts[0], 1, RunEnd::Stopped, 50);
+    CHECK(fixture.scheduled<StartTask>(60).empty());
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 1);
+}
--- /dev/null
+++ b/libs/shards/tests/JobBookTests.cpp
@@ -0,0 +1,223 @@
+#include "EngineFixture.h"
+
+#include "balsammill/shards/JobBook.h"
+
+#include <doctest/doctest.h>
+
+using namespace Balsammill;
+using namespace Balsammill::Shards;
+using namespace Balsammill::Shards::Testing;
+
+namespace {
+
+const JobId id { "00000000000000a1" };
+const OccurrenceKey first { .job = id };
+
+std::shared_ptr<const JobSpec> durableJob(const std::string& name = id.value)
+{
+    auto spec = makeSpec({ .id = name });
+    spec.durable = true;
+    return std::make_shared<const JobSpec>(spec);
+}
+
+std::optional<JobProgress> noProgress(const OccurrenceKey&) { return std::nullopt; }
+
+/// Writes everything that waits and returns the last batch.
+JournalBatch writeAll(JobBook& book, const JobBook::ProgressReader& progressOf = noProgress)
+{
+    JournalBatch last;
+    while (book.hasChanges()) {
+        last = book.takeBatch(progressOf);
+        book.handleWritten(last);
+    }
+    return last;
+}
+
+} // namespace
+
+// Guards against a job that is accepted, or begun, although the store does not have it.
+TEST_CASE("A durable job is accepted and due only once it is written")
+{
+    JobBook book;
+    CHECK(book.submit(durableJob()));
+    CHECK_FALSE(book.stateOf(id).has_value());
+    CHECK(book.takeDue(0).empty());
+    const auto batch = book.takeBatch(noProgress);
+    REQUIRE_EQ(batch.changes.size(), 1);
+    CHECK(batch.changes[0].newSpec != nullptr);
+    CHECK_EQ(batch.accepted, std::vector { id });
+    CHECK(book.takeDue(0).empty());
+    book.handleWritten(batch);
+    CHECK(book.stateOf(id) == JobState::Queued);
+    CHECK_EQ(book.takeDue(0).size(), 1);
+    CHECK(book.takeDue(0).empty());
+    CHECK_EQ(book.waitingByQueue().at(QueueName("checks")), 1);
+}
+
+// Guards against two runs of a job that a client sends twice.
+TEST_CASE("A durable job that comes again is the same job")
+{
+    JobBook book;
+    CHECK(book.submit(durableJob()));
+    CHECK(book.submit(durableJob()));
+    writeAll(book);
+    CHECK_FALSE(book.submit(durableJob()));
+    CHECK_FALSE(book.hasChanges());
+    CHECK_EQ(book.takeDue(0).size(), 1);
+}
+
+// Guards against a job that runs although its client was told that it never will.
+TEST_CASE("A job whose record was refused by the store is forgotten")
+{
+    JobBook book;
+    book.submit(durableJob());
+    book.handleRefused(book.takeBatch(noProgress));
+    CHECK_FALSE(book.knows(id));
+    CHECK_FALSE(book.hasChanges());
+    CHECK(book.takeDue(0).empty());
+    CHECK(book.submit(durableJob()));
+}
+
+// Guards against a client that sees a job as ended which a later owner runs again.
+TEST_CASE("The end of a job is shown only once it is written")
+{
+    JobBook book;
+    book.submit(durableJob());
+    writeAll(book);
+    book.takeDue(0);
+    book.noteStarted(id);
+    CHECK(book.stateOf(id) == JobState::Running);
+    CHECK(book.waitingByQueue().empty());
+    book.noteFinished(first, JobResult::Completed, 1'000);
+    CHECK(book.stateOf(id) == JobState::Running);
+    const auto batch = book.takeBatch(noProgress);
+    REQUIRE_EQ(batch.changes.size(), 1);
+    CHECK(batch.changes[0].dropSpec);
+    REQUIRE(batch.changes[0].newState);
+    CHECK(batch.changes[0].newState->state == JobState::Completed);
+    CHECK(book.stateOf(id) == JobState::Running);
+    book.handleWritten(batch);
+    CHECK(book.stateOf(id) == JobState::Completed);
+    CHECK_EQ(book.unfinishedJobs(), 0);
+}
+
+// Guards against ends of tasks that an upstream forgets before a later owner could learn of them.
+TEST_CASE("Progress is handed out with the mark that it was written with")
+{
+    JobBook book;
+    book.submit(durableJob());
+    writeAll(book);
+    book.takeDue(0);
+    const JobProgress progress { .steps = { { { .done = true, .failures = 1, .countedRun = RunNumber(2) } } } };
+    book.noteProgress({ .job = first, .mark = ProgressMark(7) });
+    const auto batch = book.takeBatch([&](const OccurrenceKey&) { return std::optional(progress); });
+    REQUIRE_EQ(batch.progress.size(), 1);
+    CHECK_EQ(batch.progress[0].mark.value, 7);
+    REQUIRE(batch.changes[0].newState);
+    REQUIRE_EQ(batch.changes[0].newState->occurrences.size(), 1);
+    CHECK(batch.changes[0].newState->occurrences[0].progress == progress);
+    // Refused, then counted further: the next batch has the newer mark.
+    book.handleRefused(batch);
+    book.noteProgress({ .job = first, .mark = ProgressMark(9) });
+    const auto again = book.takeBatch([&](const OccurrenceKey&) { return std::optional(progress); });
+    REQUIRE_EQ(again.progress.size(), 1);
+    CHECK_EQ(again.progress[0].mark.value, 9);
+}
+
+// Guards against a cancellation that is acknowledged before it lasts, and against one that undoes an end.
+TEST_CASE("A cancellation is shown once it is written, and ends nothing that has ended")
+{
+    JobBook book;
+    book.submit(durableJob());
+    writeAll(book);
+    CHECK(book.cancel(id, 1'000));
+    CHECK(book.stateOf(id) == JobState::Queued);
+    book.noteFinished(first, JobResult::Completed, 1'001);
+    writeAll(book);
+    CHECK(book.stateOf(id) == JobState::Cancelled);
+    CHECK_FALSE(book.cancel(id, 2'000));
+    CHECK(book.takeDue(5'000).empty());
+    CHECK_FALSE(book.cancel(JobId("unknown"), 0));
+}
+
+// Guards against a job of a lost owner that is forgotten, or begun from the start.
+TEST_CASE("A later owner goes on with what the store has")
+{
+    const JobProgress progress { .steps = { { { .done = true, .countedRun = RunNumber(1) } } } };
+    JobBook book;
+    book.restore(
+        id, durableJob(), JobStateRecord { .state = JobState::Running, .occurrences = { { 0, false, progress } } });
+    book.restore(JobId("00000000000000a2"), durableJob("00000000000000a2"), std::nullopt);
+    book.restore(
+        JobId("00000000000000a3"), nullptr, JobStateRecord { .state = JobState::Completed, .endedUnixMs = 500 });
+    CHECK(book.stateOf(id) == JobState::Running);
+    CHECK(book.stateOf(JobId("00000000000000a2")) == JobState::Queued);
+    CHECK(book.stateOf(JobId("00000000000000a3")) == JobState::Completed);
+    CHECK_EQ(book.unfinishedJobs(), 2);
+    const auto due = book.takeDue(0);
+    REQUIRE_EQ(due.size(), 2);
+    REQUIRE(due[0].inherited);
+    CHECK(*due[0].inherited == progress);
+    CHECK(due[1].inherited.has_value());
+}
+
+// Guards against a store that fills up, and against states that are gone too early.
+TEST_CASE("The state of an ended job is removed after the retention")
+{
+    JobBook book({ .retention = std::chrono::seconds(120) });
+    book.submit(durableJob());
+    writeAll(book);
+    book.takeDue(0);
+    book.noteFinished(first, JobResult::Failed, 1'000);
+    writeAll(book);
+    book.expire(120'000);
+    CHECK_FALSE(book.hasChanges());
+    CHECK(book.stateOf(id) == JobState::Failed);
+    book.expire(121'000);
+    const auto batch = book.takeBatch(noProgress);
+    REQUIRE_EQ(batch.changes.size(), 1);
+    CHECK(batch.changes[0].dropState);
+    book.handleWritten(batch);
+    CHECK_FALSE(book.stateOf(id).has_value());
+}
+
+// Guards against occurrences that begin early, twice or never.
+TEST_CASE("Each occurrence of a repeated job is due at its own time, and the job ends with the last")
+{
+    auto spec = makeSpec({ .id = id.value });
+    spec.durable = true;
+    spec.schedule = RepeatSchedule { .count = 3, .firstRunUnixMs = 10'000, .interval = std::chrono::seconds(1) };
+    JobBook book;
+    book.submit(std::make_shared<const JobSpec>(spec));
+    writeAll(book);
+    CHECK(book.takeDue(9'999).empty());
+    auto due = book.takeDue(10'000);
+    REQUIRE_EQ(due.size(), 1);
+    CHECK_EQ(due[0].dueUnixMs, 10'000);
+    due = book.takeDue(12'500);
+    REQUIRE_EQ(due.size(), 2);
+    CHECK_EQ(due[1].key.occurrence, 2);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        CHECK(book.stateOf(id) != JobState::Completed);
+        book.noteFinished({ .job = id, .occurrence = i }, JobResult::Completed, 13'000);
+        writeAll(book);
+    }
+    CHECK(book.stateOf(id) == JobState::Completed);
+}
+
+// Guards against a transaction that is larger than the store accepts.
+TEST_CASE("Batches are bounded, and nothing is left out")
+{
+    JobBook book({ .maxRows = 10 });
+    for (int i = 0; i < 30; ++i)
+        book.submit(durableJob("job" + std::to_string(100 + i)));
+    std::size_t accepted = 0;
+    while (book.hasChanges()) {
+        const auto batch = book.takeBatch(noProgress);
+        CHECK_LE(batch.changes.size(), 5);
+        accepted += batch.accepted.size();
+        book.handleWritten(batch);
+    }
+    CHECK_EQ(accepted, 30);
+    CHECK_EQ(book.takeDue(0).size(), 30);
+}
--- a/libs/shards/tests/ShardEngineProperties.cpp
+++ b/libs/shards/tests/ShardEngineProperties.cpp
@@ -231,7 +231,7 @@
         upstream.fence = fence_;
         if (owner_->needsLease(id, at(now_)))
             upstream.leaseUntil = std::max(upstream.leaseUntil, now_ + 1'000);
-        owner_->handleReport(id, upstream.report(owner_->lastEndHandled(id)), at(now_), at(now_));
+        owner_->handleReport(id, upstream.report(owner_->lastEndToAcknowledge(id)), at(now_), at(now_));
     }
 
     // The upstream's lists show what became of the start.
--- a/standin/operators/OperatorStore.cpp
+++ b/standin/operators/OperatorStore.cpp
@@ -37,6 +37,21 @@
 
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
+void writeRow(Writer& writer, const std::string& table, const std::string& part, const std::string& key,
+    const std::string& value, std::uint64_t version)
+{
+    writer.Key("table");
+    writer.String(table.c_str());
+    writer.Key("part");
+    writer.String(part.c_str());
+    writer.Key("key");
+    writer.String(key.c_str());
+    writer.Key("value");
+    writer.String(encode(value).c_str());
+    writer.Key("ver");
+    writer.Uint64(version);
+}
+
 } // namespace
 
 OperatorStore::OperatorStore(LoopThread& loop)
@@ -63,7 +78,7 @@
 {
     loop_.run([&] {
         ++version_;
-        change(table, key, { .value = value, .version = version_, .deleted = false });
+        rows_[{ table, {}, key }] = { .value = value, .version = version_, .deleted = false };
         wakeWaiters();
     });
 }
@@ -72,7 +87,7 @@
 {
     loop_.run([&] {
         ++version_;
-        change(table, key, { .value = {}, .version = version_, .deleted = true });
+        rows_[{ table, {}, key }] = { .value = {}, .version = version_, .deleted = true };
         wakeWaiters();
     });
 }
@@ -80,7 +95,7 @@
 std::string OperatorStore::valueOf(const std::string& table, const std::string& key)
 {
     return loop_.run([&] {
-        const auto found = rows_.find({ table, key });
+        const auto found = rows_.find({ table, {}, key });
         return found == rows_.end() || found->second.deleted ? std::string() : found->second.value;
     });
 }
@@ -105,11 +120,6 @@
     return loop_.run([&] { return writes_; });
 }
 
-void OperatorStore::change(const std::string& table, const std::string& key, Row row)
-{
-    rows_[{ table, key }] = std::move(row);
-}
-
 void OperatorStore::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
 {
     if (down_) {
@@ -135,6 +145,9 @@
     ++writes_;
     rapidjson::Document body;
     body.Parse(request.body.data(), request.body.size());
+    const auto keyOf = [](const rapidjson::Value& row) {
+        return Key { row["table"].GetString(), row["part"].GetString(), row["key"].GetString() };
+    };
     rapidjson::StringBuffer buffer;
     Writer writer(buffer);
     bool holds = true;
@@ -142,28 +155,22 @@
     writer.Key("rows");
     writer.StartArray();
     for (const auto& condition : body["precondition"].GetArray()) {
-        const Key key { condition["table"].GetString(), condition["key"].GetString() };
+        const auto key = keyOf(condition);
         const auto found = rows_.find(key);
         const bool exists = found != rows_.end() && !found->second.deleted;
         const auto version = exists ? found->second.version : 0;
         holds = holds && version == condition["ver"].GetUint64();
         writer.StartObject();
-        writer.Key("table");
-        writer.String(key.first.c_str());
-        writer.Key("key");
-        writer.String(key.second.c_str());
-        writer.Key("value");
-        writer.String(exists ? encode(found->second.value).c_str() : "");
-        writer.Key("ver");
-        writer.Uint64(version);
+        writeRow(writer, key.table, key.part, key.key, exists ? found->second.value : std::string(), version);
         writer.EndObject();
     }
     writer.EndArray();
     if (holds) {
         ++version_;
         for (const auto& put : body["puts"].GetArray())
-            change(put["table"].GetString(), put["key"].GetString(),
-                { .value = decode(put["value"].GetString()), .version = version_, .deleted = false });
+            rows_[keyOf(put)] = { .value = decode(put["value"].GetString()), .version = version_, .deleted = false };
+        for (const auto& removal : body["remove"].GetArray())
+            rows_[keyOf(removal)] = { .value = {}, .version = version_, .deleted = true };
     }
     writer.Key("ver");
     writer.Uint64(version_);
@@ -177,7 +184,10 @@
 
 void OperatorStore::handleRead(const std::map<std::string, std::string>& query, HttpExchange& exchange)
 {
-    exchange.respond({ .status = 200, .fields = {}, .body = changesAfter(query.at("table"), 0) });
+    const auto part = query.find("part");
+    exchange.respond({ .status = 200,
+        .fields = {},
+        .body = changesAfter(query.at("table"), 0, part == query.end() ? std::string() : part->second) });
 }
 
 void OperatorStore::handleFeed(
@@ -198,14 +208,15 @@
             waiters_.begin(), waiters_.end(), [&](const Waiter& waiter) { return waiter.exchange == exchange; });
         if (found == waiters_.end())
             return;
-        const auto body = changesAfter(found->table, found->after);
+        const auto body = changesAfter(found->table, found->after, std::nullopt);
         waiters_.erase(found);
         exchange->respond({ .status = 200, .fields = {}, .body = body });
     });
     wakeWaiters();
 }
 
-std::string OperatorStore::changesAfter(const std::string& table, std::uint64_t after) const
+std::string OperatorStore::changesAfter(
+    const std::string& table, std::uint64_t after, const std::optional<std::string>& part) const
 {
     rapidjson::StringBuffer buffer;
     Writer writer(buffer);
@@ -213,17 +224,10 @@
     writer.Key("rows");
     writer.StartArray();
     for (const auto& [key, row] : rows_) {
-        if (key.first != table || row.version <= after || (after == 0 && row.deleted))
+        if (key.table != table || (part && key.part != *part) || row.version <= after || (after == 0 && row.deleted))
             continue;
         writer.StartObject();
-        writer.Key("table");
-        writer.String(table.c_str());
-        writer.Key("key");
-        writer.String(key.second.c_str());
-        writer.Key("value");
-        writer.String(encode(row.value).c_str());
-        writer.Key("ver");
-        writer.Uint64(row.version);
+        writeRow(writer, key.table, key.part, key.key, row.value, row.version);
         if (row.deleted) {
             writer.Key("deleted");
             writer.Bool(true);
@@ -244,7 +248,7 @@
     std::vector<Waiter> ready;
     for (auto it = waiters_.begin(); it != waiters_.end();) {
         const bool changed = std::any_of(rows_.begin(), rows_.end(),
-            [&](const auto& entry) { return entry.first.first == it->table && entry.second.version > it->after; });
+            [&](const auto& entry) { return entry.first.table == it->table && entry.second.version > it->after; });
         if (changed) {
             ready.push_back(*it);
             it = waiters_.erase(it);
@@ -253,7 +257,8 @@
         }
     }
     for (const auto& waiter : ready)
-        waiter.exchange->respond({ .status = 200, .fields = {}, .body = changesAfter(waiter.table, waiter.after) });
+        waiter.exchange->respond(
+            { .status = 200, .fields = {}, .body = changesAfter(waiter.table, waiter.after, std::nullopt) });
 }
 
 } // namespace Standin
--- a/standin/operators/OperatorStore.h
+++ b/standin/operators/OperatorStore.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,14 +41,21 @@
         std::uint64_t after { 0 };
         std::shared_ptr<Balsammill::HttpExchange> exchange;
     };
-    using Key = std::pair<std::string, std::string>;
+    struct Key {
+        std::string table;
+        std::string part;
+        std::string key;
+
+        auto operator<=>(const Key&) const = default;
+    };
 
     void handle(const Balsammill::HttpRequest&, const std::shared_ptr<Balsammill::HttpExchange>&);
     void handleWrite(const Balsammill::HttpRequest&, const std::shared_ptr<Balsammill::HttpExchange>&);
     void handleRead(const std::map<std::string, std::string>& query, Balsammill::HttpExchange&);
     void handleFeed(const std::map<std::string, std::string>& query, const std::shared_ptr<Balsammill::HttpExchange>&);
-    std::string changesAfter(const std::string& table, std::uint64_t after) const;
-    void change(const std::string& table, const std::string& key, Row);
+    /// Rows of a table that changed after the version; of one part, or of all if there is none.
+    std::string changesAfter(
+        const std::string& table, std::uint64_t after, const std::optional<std::string>& part) const;
     void wakeWaiters();
 
     LoopThread& loop_;
--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -136,6 +136,8 @@
             + std::to_string(options_.milliCores));
     if (++registry_.running[task] > 1)
         registry_.violations.push_back("two runs at the same time: " + task);
+    if (registry_.onceOnly && registry_.completed[task] > 0)
+        registry_.violations.push_back("started again after its end: " + task);
     ++registry_.starts;
     highestRun_[task] = number;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -19,6 +19,9 @@
     // Tasks that run now, by name, on any upstream.
     std::map<std::string, int> running;
     std::map<std::string, int> completed;
+    // Whether a start of a task that has completed is a violation: false where clients send jobs again that were not
+    // stored.
+    bool onceOnly { false };
     int starts { 0 };
     std::vector<std::string> violations;
 };
--- /dev/null
+++ b/tests/platform/DurableJobTests.cpp
@@ -0,0 +1,196 @@
+#include "Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace PlatformTest;
+using namespace IntegrationTest;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string jobId(int number)
+{
+    auto digits = std::to_string(number);
+    return std::string(16 - digits.size(), 'd') + digits;
+}
+
+// Submits until the job is stored: the store, or the job's owner, may be away.
+bool store(const Fleet& fleet, std::size_t entry, const std::string& id, int tasks)
+{
+    return waitUntil(in(30s), [&] { return fleet.submitDurable(entry, id, tasks).status == 200; });
+}
+
+void checkAllComplete(Fleet& fleet, int jobs, int tasksEach)
+{
+    for (int i = 1; i <= jobs; ++i)
+        CHECK_MESSAGE(fleet.waitForState(jobId(i), "completed"), "job ", i, " is ", fleet.stateOf(0, jobId(i)));
+    CHECK_EQ(fleet.violations(), "");
+    CHECK_EQ(fleet.starts(), jobs * tasksEach);
+}
+
+} // namespace
+
+// Guards against the whole path of jobs that are stored.
+TEST_CASE("A durable job is stored, runs once, and every entry tells its state [durable]")
+{
+    Fleet fleet({ .name = "durable-path", .domains = { "valencia", "lantapan" } });
+    REQUIRE(fleet.waitUntilReady());
+    fleet.forbidRepeatedTasks();
+    for (int i = 1; i <= 8; ++i)
+        CHECK_EQ(fleet.submitDurable(static_cast<std::size_t>(i) % fleet.entryCount(), jobId(i), 3).status, 200);
+    checkAllComplete(fleet, 8, 3);
+    for (std::size_t entry = 0; entry < fleet.entryCount(); ++entry)
+        CHECK_EQ(fleet.stateOf(entry, jobId(1)), "completed");
+    // The same job again is the same job.
+    CHECK_EQ(fleet.submitDurable(0, jobId(1), 3).status, 200);
+    CHECK_EQ(fleet.stateOf(1, jobId(1)), "completed");
+    CHECK_EQ(fleet.stateOf(0, jobId(77)), "410");
+    CHECK_EQ(fleet.request(0, "DELETE", "/check/" + jobId(77), "").status, 410);
+    CHECK_EQ(fleet.request(0, "GET", "/check/", "").body, R"({"waiting":0})");
+    CHECK_EQ(fleet.starts(), 24);
+}
+
+// Guards against jobs that are lost or begun again when their owner dies while their tasks run.
+TEST_CASE("When the owner is killed its successor adopts what runs and every stored job ends once [durable]")
+{
+    Fleet fleet({ .name = "durable-kill", .upstreamsPerDomain = 4, .runMs = 600 });
+    REQUIRE(fleet.waitUntilReady());
+    fleet.forbidRepeatedTasks();
+    for (int i = 1; i <= 4; ++i)
+        REQUIRE(store(fleet, 0, jobId(i), 2));
+    REQUIRE(waitUntil(in(10s), [&] { return fleet.running() >= 8; }));
+    fleet.restart(fleet.ownerOf("valencia"));
+    checkAllComplete(fleet, 4, 2);
+}
+
+// Guards against a job that is gone although its client was told that it is stored.
+TEST_CASE("After a loss of all entries right after the acknowledgement every stored job still ends [durable]")
+{
+    Fleet fleet({ .name = "durable-kill-all", .upstreamsPerDomain = 4, .runMs = 200 });
+    REQUIRE(fleet.waitUntilReady());
+    for (int i = 1; i <= 6; ++i)
+        REQUIRE(store(fleet, 0, jobId(i), 2));
+    for (std::size_t i = 0; i < fleet.entryCount(); ++i)
+        fleet.entry(i).signal(SIGKILL);
+    for (std::size_t i = 0; i < fleet.entryCount(); ++i)
+        fleet.restart(i);
+    for (int i = 1; i <= 6; ++i)
+        CHECK_MESSAGE(fleet.waitForState(jobId(i), "completed"), "job ", i, " is ", fleet.stateOf(0, jobId(i)));
+    CHECK_EQ(fleet.violations(), "");
+}
+
+// Guards against work that is thrown away, or run twice, at a planned stop.
+TEST_CASE("A planned stop of the owner leaves stored jobs running for its successor [durable]")
+{
+    Fleet fleet({ .name = "durable-stop", .upstreamsPerDomain = 4, .runMs = 700 });
+    REQUIRE(fleet.waitUntilReady());
+    fleet.forbidRepeatedTasks();
+    for (int i = 1; i <= 4; ++i)
+        REQUIRE(store(fleet, 0, jobId(i), 2));
+    REQUIRE(waitUntil(in(10s), [&] { return fleet.running() >= 8; }));
+    const auto owner = fleet.ownerOf("valencia");
+    fleet.entry(owner).signal(SIGTERM);
+    CHECK_EQ(fleet.entry(owner).waitForExit(in(20s)).value_or(-1), 0);
+    fleet.restart(owner);
+    checkAllComplete(fleet, 4, 2);
+}
+
+// Guards against jobs that are accepted without being stored, and against a client that waits for an outage to end.
+TEST_CASE("While the store is down jobs are refused, and what was stored goes on and ends [durable]")
+{
+    Fleet fleet({ .name = "durable-outage", .runMs = 300 });
+    REQUIRE(fleet.waitUntilReady());
+    fleet.forbidRepeatedTasks();
+    for (int i = 1; i <= 2; ++i)
+        REQUIRE(store(fleet, 0, jobId(i), 2));
+    fleet.store().setDown(true);
+    const auto refused = fleet.submitDurable(0, jobId(3), 2);
+    CHECK_EQ(refused.status, 429);
+    CHECK_NE(refused.retryAfter, "");
+    CHECK(waitUntil(in(10s), [&] { return fleet.running() == 0; }));
+    fleet.store().setDown(false);
+    REQUIRE(store(fleet, 1, jobId(3), 2));
+    checkAllComplete(fleet, 3, 2);
+}
+
+// Guards against a job that is stored twice, or lost, when it is not known whether a write was done.
+TEST_CASE("Writes without an answer are settled, and each job ends once [durable]")
+{
+    Fleet fleet({ .name = "durable-lost-answers" });
+    REQUIRE(fleet.waitUntilReady());
+    fleet.forbidRepeatedTasks();
+    REQUIRE(store(fleet, 0, jobId(1), 2));
+    for (int i = 2; i <= 6; ++i) {
+        fleet.store().loseAnswers(2);
+        REQUIRE(store(fleet, static_cast<std::size_t>(i) % 2, jobId(i), 2));
+    }
+    checkAllComplete(fleet, 6, 2);
+}
+
+// Guards against a frozen owner that goes on writing and starting where it was.
+TEST_CASE("A paused owner that wakes up changes nothing of the stored jobs [durable]")
+{
+    Fleet fleet({ .name = "durable-pause", .upstreamsPerDomain = 4, .runMs = 400 });
+    REQUIRE(fleet.waitUntilReady());
+    for (int i = 1; i <= 4; ++i)
+        REQUIRE(store(fleet, 0, jobId(i), 2));
+    const auto owner = fleet.ownerOf("valencia");
+    fleet.entry(owner).signal(SIGSTOP);
+    CHECK(waitUntil(in(20s), [&] { return fleet.ownerOf("valencia") != owner; }));
+    REQUIRE(store(fleet, 1 - owner, jobId(5), 2));
+    fleet.entry(owner).signal(SIGCONT);
+    for (int i = 1; i <= 5; ++i)
+        CHECK_MESSAGE(fleet.waitForState(jobId(i), "completed"), "job ", i, " is ", fleet.stateOf(1 - owner, jobId(i)));
+    CHECK_EQ(fleet.violations(), "");
+}
+
+// Guards against cancelled jobs that go on, or come back with the next owner.
+TEST_CASE("A cancelled job stops, and stays cancelled when its owner is lost [durable]")
+{
+    Fleet fleet({ .name = "durable-cancel", .runMs = 20'000 });
+    REQUIRE(fleet.waitUntilReady());
+    REQUIRE(store(fleet, 0, jobId(1), 2));
+    REQUIRE(waitUntil(in(10s), [&] { return fleet.running() == 2; }));
+    CHECK_EQ(fleet.stateOf(1, jobId(1)), "running");
+    CHECK_EQ(fleet.request(1, "DELETE", "/check/" + jobId(1), "").status, 200);
+    CHECK(waitUntil(in(10s), [&] { return fleet.running() == 0; }));
+    CHECK_EQ(fleet.stateOf(0, jobId(1)), "cancelled");
+    fleet.restart(fleet.ownerOf("valencia"));
+    CHECK(fleet.waitForState(jobId(1), "cancelled"));
+    CHECK_EQ(fleet.starts(), 2);
+}
+
+// Guards against lasting tasks that stay away after they ended or after the loss of their owner.
+TEST_CASE("Lasting tasks start again however they end, until their job is cancelled [durable]")
+{
+    Fleet fleet({ .name = "durable-lasting", .runMs = 300 });
+    REQUIRE(fleet.waitUntilReady());
+    REQUIRE_EQ(fleet.submitDurable(0, jobId(1), 2, 10'000, R"("long_running":true,)").status, 200);
+    CHECK(waitUntil(in(20s), [&] { return fleet.starts() >= 5; }));
+    fleet.restart(fleet.ownerOf("valencia"));
+    const int before = fleet.starts();
+    CHECK(waitUntil(in(20s), [&] { return fleet.starts() >= before + 3; }));
+    CHECK_EQ(fleet.stateOf(0, jobId(1)), "running");
+    CHECK_EQ(fleet.request(0, "DELETE", "/check/" + jobId(1), "").status, 200);
+    CHECK(waitUntil(in(10s), [&] { return fleet.running() == 0; }));
+    CHECK_EQ(fleet.violations(), "");
+}
+
+// Guards against occurrences that are left out or doubled.
+TEST_CASE("A repeated job runs as often as it should and then is completed [durable]")
+{
+    Fleet fleet({ .name = "durable-repeat" });
+    REQUIRE(fleet.waitUntilReady());
+    fleet.forbidRepeatedTasks();
+    const auto now
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+              .count();
+    const auto schedule = R"("repeat_count":4,"first_run_ms":)" + std::to_string(now + 300) + R"(,"interval_ms":250,)";
+    REQUIRE_EQ(fleet.submitDurable(0, jobId(1), 1, 10'000, schedule).status, 200);
+    CHECK(fleet.waitForState(jobId(1), "completed"));
+    CHECK_EQ(fleet.starts(), 4);
+    CHECK_EQ(fleet.violations(), "");
+}
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -74,8 +74,10 @@
             text << "node_name = \"" << domain << i << "\"\nzone = \"" << domain << "\"\nip = \"127.0.0.1\"\n"
                  << "internal_port_range = [" << ports.firstPeer << ", " << ports.firstPeer + 1 << "]\n"
                  << "[listen]\nfront = \"127.0.0.1:" << ports.client.number()
-                 << "\"\nready = \"127.0.0.1:" << ports.readiness.number()
-                 << "\"\n[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
+                 << "\"\nready = \"127.0.0.1:" << ports.readiness.number() << "\"\n[zones]\n";
+            for (const auto& each : options.domains)
+                text << each << " = \"mindanao-north\"\n";
+            text << "[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
                  << "[platform]\naddress = \"" << store_->address() << "\"\n";
             settings_.push_back(file);
         }
@@ -143,6 +145,31 @@
             + "}]}");
 }
 
+ClientAnswer Fleet::submitDurable(
+    std::size_t entry, const std::string& id, int tasks, int milliCores, const std::string& more) const
+{
+    const auto cores = std::to_string(milliCores);
+    return request(entry, "POST", "/check/" + id,
+        R"({"task_spec":")" + cores + R"(",)" + more + R"("steps":[{"count":)" + std::to_string(tasks) + R"(,"cpu":)"
+            + cores + R"(,"memory_limit_mb":64,"estimated_ms":)" + std::to_string(options_.runMs) + "}]}");
+}
+
+std::string Fleet::stateOf(std::size_t entry, const std::string& id) const
+{
+    const auto answer = request(entry, "GET", "/check/" + id, "");
+    if (answer.status != 200)
+        return std::to_string(answer.status);
+    constexpr std::string_view before = R"({"state":")";
+    return answer.body.substr(before.size(), answer.body.size() - before.size() - 2);
+}
+
+bool Fleet::waitForState(const std::string& id, const std::string& state) const
+{
+    std::size_t entry = 0;
+    return IntegrationTest::waitUntil(
+        IntegrationTest::in(30s), [&] { return stateOf(entry++ % entries_.size(), id) == state; });
+}
+
 ClientAnswer Fleet::submitUntilAnswered(std::size_t entry, const std::string& id, int tasks, int milliCores) const
 {
     ClientAnswer answer;
@@ -228,6 +255,21 @@
     return loop_.run([this] { return registry_.starts; });
 }
 
+void Fleet::forbidRepeatedTasks()
+{
+    loop_.run([this] { registry_.onceOnly = true; });
+}
+
+int Fleet::running()
+{
+    return loop_.run([this] {
+        int sum = 0;
+        for (const auto& [task, runs] : registry_.running)
+            sum += runs;
+        return sum;
+    });
+}
+
 std::vector<std::string> Fleet::logFiles() const
 {
     std::vector<std::string> files;
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -40,6 +40,13 @@
     /// As a client does: sends the job again after a broken connection or an answer in doubt, to the next entry.
     ClientAnswer submitUntilAnswered(
         std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
+    /// Submits a job that is answered once it is stored.
+    ClientAnswer submitDurable(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000,
+        const std::string& more = {}) const;
+    /// The state of a durable job, or the status of the answer if that is not 200.
+    std::string stateOf(std::size_t entry, const std::string& id) const;
+    /// Waits until some entry tells this state.
+    bool waitForState(const std::string& id, const std::string& state) const;
     ClientAnswer request(
         std::size_t entry, const std::string& method, const std::string& path, const std::string& body) const;
     std::string metrics(std::size_t entry) const;
@@ -56,6 +63,10 @@
     /// Broken promises that the upstreams have seen, a line each.
     std::string violations();
     int starts();
+    /// From now on a start of a task that has completed is a violation.
+    void forbidRepeatedTasks();
+    /// Runs that exist now, on any upstream.
+    int running();
     std::vector<std::string> logFiles() const;
 
 private:
--- a/tests/platform/NodeFailureTests.cpp
+++ b/tests/platform/NodeFailureTests.cpp
@@ -77,7 +77,7 @@
     CHECK_EQ(fleet.request(0, "GET", "/check/", "").body, R"({"waiting":0})");
     CHECK_EQ(fleet.request(0, "POST", "/check/short", "{}").status, 400);
     CHECK_EQ(fleet.request(0, "POST", "/check/" + jobId(9), "{").status, 400);
-    CHECK_EQ(fleet.request(0, "POST", "/check/" + jobId(9), R"({"steps":[{}]})").status, 503);
+    CHECK_EQ(fleet.request(0, "POST", "/check/" + jobId(9), R"({"steps":[{"fills":true}]})").status, 503);
     CHECK_NE(fleet.metrics(0).find("balsammill_answers_total"), std::string::npos);
 }
 
