Let serve use the operators' store through the one client, and drop the invented store

Cause: the tree had two clients of a platform's store, one for the published protocol (platform/Store) and one for an invented one (libs/platform), and two stand-ins of the platform.

Change: libs/platform is now only the interface that serve needs; platform/ TableClient implements it over platform/Store on a thread of its own. The stand-in of the invented store is removed; balsammill-standin platform serves the published protocol with delays, outages, lost answers and a rate limit.

--- a/apps/balsammill/ServeCommand.cpp
+++ b/apps/balsammill/ServeCommand.cpp
@@ -2,6 +2,7 @@
 #include "EntryFlags.h"
 
 #include "balsammill/entry/EntryServer.h"
+#include "platform/TableClient.h"
 
 #include <CLI/CLI.hpp>
 
@@ -30,7 +31,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     configureLogging(options.vm.value, options.logLevel);
 
-    EntryServer server(options);
+    const Platform::TableClient platform({ .address = options.platformAddress, .timeout = options.platformTimeout });
+    EntryServer server(options, platform);
     const auto ports = server.start();
     // The one line on standard output tells whoever started the process which ports the system chose.
     std::cout << R"({"ready":true,"listen":)" << ports.caller << R"(,"operator":)" << ports.operators << R"(,"peer":)"
--- a/libs/entry/include/balsammill/entry/ConfigService.h
+++ b/libs/entry/include/balsammill/entry/ConfigService.h
@@ -24,7 +24,7 @@
 class Timeline;
 
 struct ConfigServiceOptions {
-    PlatformClient& platform;
+    const PlatformClient& platform;
     const RcuCell<MemberView>& members;
     Timeline& timeline;
     PeerSender send;
--- a/libs/entry/include/balsammill/entry/EntryServer.h
+++ b/libs/entry/include/balsammill/entry/EntryServer.h
@@ -7,6 +7,8 @@
 
 namespace Balsammill {
 
+class PlatformClient;
+
 /// Ports that the process listens on.
 struct EntryPorts {
     std::uint16_t caller { 0 };
@@ -17,8 +19,8 @@
 /// One entry process: answers callers and operators, and works with the other entries of the deployment.
 class EntryServer {
 public:
-    /// Throws SettingsError if a setting cannot work.
-    explicit EntryServer(EntryOptions);
+    /// Throws SettingsError if a setting cannot work. The client of the platform must outlive the process.
+    EntryServer(EntryOptions, const PlatformClient&);
     ~EntryServer();
 
     EntryPorts start();
--- a/libs/entry/src/ControlLoop.cpp
+++ b/libs/entry/src/ControlLoop.cpp
@@ -76,10 +76,14 @@
 
 ControlLoop::~ControlLoop() { stop(); }
 
-void ControlLoop::start()
+void ControlLoop::start(const NetworkAddress& peerAddress)
 {
     tickThread_ = std::thread([this] { runTicks(); });
-    platformThread_ = std::thread([this] { runPlatformPolling(); });
+    platformThread_ = std::thread([this, peerAddress] {
+        EntryRegistrar registrar(options_.platform,
+            { .self = options_.self, .failureDomain = options_.settings.failureDomain, .peerAddress = peerAddress });
+        runPlatformPolling(registrar);
+    });
 }
 
 void ControlLoop::stop()
@@ -116,27 +120,23 @@
         tick(monotonicNow());
 }
 
-void ControlLoop::runPlatformPolling()
+void ControlLoop::runPlatformPolling(EntryRegistrar& registrar)
 {
     do {
         const auto begin = monotonicNow();
         options_.config.refresh();
-        auto result = options_.platform.listVms();
-        if (auto* vms = std::get_if<std::vector<ListedVm>>(&result))
-            applyList(std::move(*vms), begin);
+        const auto entries = registrar.refresh();
+        auto upstreams = options_.platform.listUpstreams();
+        if (auto* listed = std::get_if<std::vector<ListedUpstream>>(&upstreams); entries && listed != nullptr)
+            applyLists(*entries, std::move(*listed), begin);
     } while (!waitOrStop(listInterval));
 }
 
-void ControlLoop::applyList(std::vector<ListedVm> vms, TimePoint requestedAt)
+void ControlLoop::applyLists(
+    const std::vector<ListedEntry>& entries, std::vector<ListedUpstream> upstreams, TimePoint requestedAt)
 {
-    std::vector<ListedEntry> entries;
-    std::vector<ListedVm> upstreams;
-    for (auto& vm : vms) {
-        if (vm.role == VmRole::Entry)
-            entries.push_back({ vm.name, vm.failureDomain, vm.address, vm.leaving });
-        else if (vm.failureDomain == options_.settings.failureDomain)
-            upstreams.push_back(std::move(vm));
-    }
+    std::erase_if(upstreams,
+        [this](const ListedUpstream& upstream) { return upstream.failureDomain != options_.settings.failureDomain; });
     std::lock_guard lock(mutex_);
     // An empty list is a fault of the platform: it would at least have to contain this process.
     if (entries.empty())
@@ -286,7 +286,7 @@
 
 void ControlLoop::assignUpstreams(const MemberView& view)
 {
-    std::vector<ListedVm> upstreams;
+    std::vector<ListedUpstream> upstreams;
     {
         std::lock_guard lock(mutex_);
         if (!settledAt_ || !std::exchange(assignmentDue_, false))
--- a/libs/entry/src/ControlLoop.h
+++ b/libs/entry/src/ControlLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EntryRegistrar.h"
 #include "balsammill/base/RcuCell.h"
 #include "balsammill/config/ActiveConfig.h"
 #include "balsammill/entry/EntryOptions.h"
@@ -34,7 +35,7 @@
     const EntryOptions& settings;
     ProcessId self;
     RcuCell<MemberView>& members;
-    PlatformClient& platform;
+    const PlatformClient& platform;
     ConfigService& config;
     Dispatcher& dispatcher;
     JobService& jobs;
@@ -51,7 +52,8 @@
     explicit ControlLoop(const ControlLoopOptions&);
     ~ControlLoop();
 
-    void start();
+    /// peerAddress: where other entries connect.
+    void start(const NetworkAddress& peerAddress);
     void stop();
     /// True once upstreams were assigned by a configuration and a list of VMs, and the other entries were heard of or
     /// had time to be.
@@ -65,7 +67,7 @@
 
 private:
     void runTicks();
-    void runPlatformPolling();
+    void runPlatformPolling(EntryRegistrar&);
     bool waitOrStop(Duration);
 
     void tick(TimePoint now);
@@ -76,7 +78,7 @@
     void sendHeartbeats(const MemberView&, TimePoint now);
     balsammill::internal::PeerMessage makeHeartbeat(bool leaving) const;
     void connectPeers();
-    void applyList(std::vector<ListedVm>, TimePoint now);
+    void applyLists(const std::vector<ListedEntry>&, std::vector<ListedUpstream>, TimePoint requestedAt);
     void assignUpstreams(const MemberView&);
     void updateReadiness(const MemberView&, TimePoint now);
 
@@ -86,7 +88,7 @@
 
     mutable std::mutex mutex_;
     MemberTable table_;
-    std::vector<ListedVm> upstreams_;
+    std::vector<ListedUpstream> upstreams_;
     std::optional<TimePoint> settledAt_;
     bool assignmentDue_ { true };
     /// While set, only news from after this time ends the suspicion of this process against itself.
--- a/libs/entry/src/EntryServer.cpp
+++ b/libs/entry/src/EntryServer.cpp
@@ -48,10 +48,17 @@
     return "call-" + self.vm.value + "-" + std::to_string((self.incarnation.value >> 8U) % shortIncarnation) + "-";
 }
 
+// The address that was asked for, with the port that the system chose if that was left open.
+NetworkAddress peerAddress(const EntryOptions& options, std::uint16_t port)
+{
+    const auto& asked = options.peerAddress.value;
+    return NetworkAddress(asked.substr(0, asked.rfind(':') + 1) + std::to_string(port));
+}
+
 } // namespace
 
 struct EntryServer::Detail {
-    explicit Detail(EntryOptions settings);
+    Detail(EntryOptions settings, const PlatformClient&);
 
     void handlePeerMessage(const ProcessId& sender, const balsammill::internal::PeerMessage&);
     PageAnswer readiness() const;
@@ -64,7 +71,7 @@
     Metrics metrics;
     std::atomic<bool> draining { false };
     RcuCell<MemberView> members;
-    PlatformClient platform;
+    const PlatformClient& platform;
     PeerTransport transport;
     Dispatcher dispatcher;
     ConfigService config;
@@ -77,13 +84,13 @@
     ConnectServer operatorServer;
 };
 
-EntryServer::Detail::Detail(EntryOptions settings)
+EntryServer::Detail::Detail(EntryOptions settings, const PlatformClient& platformClient)
     : options(std::move(settings))
     , self { options.vm, newIncarnation() }
     , timeline(options.timelineCapacity)
     , members(std::make_shared<const MemberView>(
           MemberView { .self = self, .ownDomain = options.failureDomain, .members = {} }))
-    , platform({ .address = options.platformAddress, .timeout = options.platformTimeout })
+    , platform(platformClient)
     , transport({ .self = self,
           .deployment = options.deployment,
           .secret = options.peerSecret,
@@ -211,10 +218,10 @@
     }
 }
 
-EntryServer::EntryServer(EntryOptions options)
+EntryServer::EntryServer(EntryOptions options, const PlatformClient& platform)
 {
     validate(options);
-    detail_ = std::make_unique<Detail>(std::move(options));
+    detail_ = std::make_unique<Detail>(std::move(options), platform);
 }
 
 EntryServer::~EntryServer() = default;
@@ -228,7 +235,7 @@
     d.dispatcher.start();
     d.transport.start();
     d.jobs.start();
-    d.control.start();
+    d.control.start(peerAddress(d.options, d.transport.port()));
     d.callerServer.start();
     d.operatorServer.start();
     d.timeline.record(
--- a/libs/node/src/ShardJournal.cpp
+++ b/libs/node/src/ShardJournal.cpp
@@ -79,30 +79,31 @@
         rows_.clear();
         fenceVersion_ = {};
     }
-    store_.read(journalTable, part_, fromKey, monotonicNow() + callTimeout, [this, alive = alive_](const auto& result) {
-        if (!*alive)
-            return;
-        if (result.status != Platform::StoreStatus::Ok) {
-            retryLater(&ShardJournal::restartOpen);
-            return;
-        }
-        retryDelay_ = Duration::zero();
-        const auto fence = findFence(result.rows);
-        if (fence && fence->epoch() > epoch_.value) {
-            std::exchange(opened_, nullptr)(std::nullopt);
-            return;
-        }
-        for (const auto& each : result.rows) {
-            if (each.key == fenceKey)
-                fenceVersion_ = each.version;
+    store_.read({ .table = journalTable, .part = part_, .from = fromKey }, monotonicNow() + callTimeout,
+        [this, alive = alive_](const auto& result) {
+            if (!*alive)
+                return;
+            if (result.status != Platform::StoreStatus::Ok) {
+                retryLater(&ShardJournal::restartOpen);
+                return;
+            }
+            retryDelay_ = Duration::zero();
+            const auto fence = findFence(result.rows);
+            if (fence && fence->epoch() > epoch_.value) {
+                std::exchange(opened_, nullptr)(std::nullopt);
+                return;
+            }
+            for (const auto& each : result.rows) {
+                if (each.key == fenceKey)
+                    fenceVersion_ = each.version;
+                else
+                    rows_.push_back({ .key = each.key, .value = each.value });
+            }
+            if (result.hasMore && !result.rows.empty())
+                readPage(result.rows.back().key + std::string(1, '\x01'));
             else
-                rows_.push_back({ .key = each.key, .value = each.value });
-        }
-        if (result.hasMore && !result.rows.empty())
-            readPage(result.rows.back().key + std::string(1, '\x01'));
-        else
-            takeOver();
-    });
+                takeOver();
+        });
 }
 
 void ShardJournal::takeOver()
--- a/libs/node/src/TableFollower.cpp
+++ b/libs/node/src/TableFollower.cpp
@@ -36,25 +36,26 @@
 {
     if (fromKey.empty())
         loading_.clear();
-    store_.read(table_, {}, fromKey, monotonicNow() + readTimeout, [this, alive = alive_, fromKey](const auto& result) {
-        if (!*alive)
-            return;
-        if (result.status != Platform::StoreStatus::Ok) {
-            fail(result.error);
-            return;
-        }
-        // Pages are read one after the other; changes are followed from the version of the first.
-        if (fromKey.empty())
-            loadVersion_ = result.version;
-        for (const auto& row : result.rows) {
-            loading_[row.key] = row.version;
-            apply(row);
-        }
-        if (result.hasMore && !result.rows.empty())
-            load(result.rows.back().key + std::string(1, '\x01'));
-        else
-            finishLoad(loadVersion_);
-    });
+    store_.read({ .table = table_, .from = fromKey }, monotonicNow() + readTimeout,
+        [this, alive = alive_, fromKey](const auto& result) {
+            if (!*alive)
+                return;
+            if (result.status != Platform::StoreStatus::Ok) {
+                fail(result.error);
+                return;
+            }
+            // Pages are read one after the other; changes are followed from the version of the first.
+            if (fromKey.empty())
+                loadVersion_ = result.version;
+            for (const auto& row : result.rows) {
+                loading_[row.key] = row.version;
+                apply(row);
+            }
+            if (result.hasMore && !result.rows.empty())
+                load(result.rows.back().key + std::string(1, '\x01'));
+            else
+                finishLoad(loadVersion_);
+        });
 }
 
 void TableFollower::finishLoad(Platform::RowVersion version)
--- a/libs/platform/include/balsammill/platform/PlatformClient.h
+++ b/libs/platform/include/balsammill/platform/PlatformClient.h
@@ -32,7 +32,7 @@
 };
 /// The value was changed by another writer; nothing was written.
 struct WriteConflict { };
-/// No byte of the write left this process; nothing was written.
+/// Nothing was written and nothing will be.
 struct WriteNotSent {
     std::string cause;
 };
@@ -42,45 +42,31 @@
 };
 using WriteResult = std::variant<Written, WriteConflict, WriteNotSent, WriteInDoubt>;
 
-enum class VmRole {
-    Entry,
-    Upstream,
-};
-
-/// One row of the platform's list of live and leaving VMs.
-struct ListedVm {
+/// An upstream as it registers itself with the platform.
+struct ListedUpstream {
     VmName name;
-    VmRole role { VmRole::Upstream };
     FailureDomain failureDomain;
-    std::string rack;
-    /// Entry: address of the peer socket. Upstream: address of its HTTP server.
+    /// Address of its HTTP server.
     NetworkAddress address;
-    /// Upstream only: label of the service it serves, and its slots.
+    /// Label of the service it serves.
     std::string label;
     Slots slots { 0 };
     bool leaving { false };
 };
-using VmListResult = std::variant<std::vector<ListedVm>, PlatformUnavailable>;
-
-struct PlatformOptions {
-    NetworkAddress address;
-    Duration timeout { std::chrono::seconds(2) };
-};
+using UpstreamListResult = std::variant<std::vector<ListedUpstream>, PlatformUnavailable>;
 
-/// Client of the platform's table and VM list over HTTP. Thread-safe; every call blocks at most for the timeout.
+/// The platform's table and its list of upstreams. Thread-safe; every call blocks for a bounded time.
 class PlatformClient {
 public:
-    explicit PlatformClient(PlatformOptions);
+    virtual ~PlatformClient() = default;
 
-    ReadResult read(const std::string& key) const;
-    ListResult list(const std::string& prefix) const;
+    virtual ReadResult read(const std::string& key) const = 0;
+    /// All values whose keys begin with the prefix.
+    virtual ListResult list(const std::string& prefix) const = 0;
     /// Writes if the key's tag is still the expected one; no tag means that the key must not exist.
-    WriteResult conditionalWrite(
-        const std::string& key, const std::string& value, const std::optional<ETag>& expected) const;
-    VmListResult listVms() const;
-
-private:
-    PlatformOptions options_;
+    virtual WriteResult conditionalWrite(
+        const std::string& key, const std::string& value, const std::optional<ETag>& expected) const = 0;
+    virtual UpstreamListResult listUpstreams() const = 0;
 };
 
 } // namespace Balsammill
--- a/scripts/measure-control-cost.sh
+++ b/scripts/measure-control-cost.sh
@@ -2,6 +2,7 @@
 # Prints processor time, memory and peer traffic of an idle entry in deployments of several sizes: ENTRIES="3 9 18".
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/register-upstream.sh
 seconds=${SECONDS_PER_RUN:-10}
 balsammill=build/release/apps/balsammill/balsammill
 standin=build/release/standin/balsammill-standin
@@ -22,7 +23,6 @@
     until grep -q '"ready"' "$work/$name.ready"; do sleep 0.05; done
 }
 port() { sed -n "s/.*\"$2\":\([0-9]*\).*/\1/p" "$work/$1.ready"; }
-row() { printf '{"name":"%s","role":"%s","failure_domain":"%s","rack":"r1","address":"127.0.0.1:%s","label":"%s","slots":8,"leaving":false}' "$@"; }
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 metric() { curl -s "http://127.0.0.1:$(port e0 operator)/metrics" | awk -v name="$1" '$1 == name {print $2}'; }
 domains=(malaybalay valencia lantapan)
@@ -33,18 +33,15 @@
     start platform $standin platform
     platform=127.0.0.1:$(port platform port)
     start upstreams $standin upstream --proto-root examples --schema banhay/tanim.proto --count 18 --run-ms 30
-    rows=""
     i=0
     for p in $(sed -n 's/.*"ports":\[\([0-9,]*\)\].*/\1/p' "$work/upstreams.ready" | tr ',' ' '); do
-        rows+="$(row "u$i" upstream "${domains[i % 3]}" "$p" tanim),"
+        register_upstream "$platform" "u$i" "${domains[i % 3]}" "$p" tanim
         i=$((i + 1))
     done
     for ((i = 0; i < entries; i++)); do
         start "e$i" $balsammill serve --vm "e$i" --failure-domain "${domains[i % 3]}" --deployment measure --platform "$platform"
         [ "$i" -ne 0 ] || measured=${pids[-1]}
-        rows+="$(row "e$i" entry "${domains[i % 3]}" "$(port "e$i" peer)" ""),"
     done
-    curl -sS -X PUT -H 'Content-Type: application/json' --data "{\"vms\":[${rows%,}]}" "http://$platform/control/vms" >/dev/null
     sed 's/"failureDomains": .*/"failureDomains": ["malaybalay", "valencia", "lantapan"],/' examples/banhay/deployment.json >"$work/config.json"
     $balsammill operator --address "127.0.0.1:$(port e0 operator)" apply --config "$work/config.json" --schema-root examples >/dev/null || true
     until curl -sf "http://127.0.0.1:$(port e0 listen)/readyz" >/dev/null; do sleep 0.1; done
--- a/scripts/measure-serving-path.sh
+++ b/scripts/measure-serving-path.sh
@@ -3,6 +3,7 @@
 # entry on one core. Needs a release build. Usage: measure-serving-path.sh [latency|throughput RATE...] (default: both)
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/register-upstream.sh
 balsammill=build/release/apps/balsammill/balsammill
 standin=build/release/standin/balsammill-standin
 schema=(--proto-root examples --schema banhay/tanim.proto)
@@ -37,7 +38,7 @@
 
 # deploy RUN_MS COMMAND...: one entry, 50 upstreams of 8 slots; COMMAND is put before the entry's command.
 deploy() {
-    local run_ms=$1 rows="" i=0
+    local run_ms=$1 i=0
     shift
     start platform $standin platform
     start upstreams $standin upstream "${schema[@]}" --count 50 --slots 8 --run-ms "$run_ms"
@@ -47,10 +48,8 @@
     entry_pid=${pids[-1]}
     for p in $(ports upstreams); do
         i=$((i + 1))
-        rows+="{\"name\":\"u$i\",\"role\":\"upstream\",\"failure_domain\":\"malaybalay\",\"rack\":\"r1\",\"address\":\"127.0.0.1:$p\",\"label\":\"tanim\",\"slots\":8},"
+        register_upstream "$platform" "u$i" malaybalay "$p" tanim
     done
-    rows+="{\"name\":\"e1\",\"role\":\"entry\",\"failure_domain\":\"malaybalay\",\"rack\":\"r1\",\"address\":\"127.0.0.1:$(port entry peer)\"}"
-    curl -sS -X PUT --data "{\"vms\":[$rows]}" "http://$platform/control/vms"
     sed 's/"failureDomains": .*/"failureDomains": ["malaybalay"],/' examples/banhay/deployment.json >"$work/deployment.json"
     $balsammill operator --address "127.0.0.1:$(port entry operator)" apply --config "$work/deployment.json" --schema-root examples
     entry=127.0.0.1:$(port entry listen)
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -4,6 +4,7 @@
 # line and through curl, the job's time line over all processes, and a graceful shutdown.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/register-upstream.sh
 scripts/install-deps.sh
 cmake --preset release >/dev/null
 cmake --build --preset release --target balsammill balsammill-standin
@@ -44,22 +45,20 @@
     local name=$1 domain1=$2 domain2=$3 label=$4 schema=$5 service=$6 method=$7 request=$8 task_method=$9 task=${10}
     echo "== $name"
     start "${name}_platform" $standin platform
-    local platform entry rows=""
+    local platform entry
     platform=127.0.0.1:$(port "${name}_platform" port)
     for domain in "$domain1" "$domain2"; do
         start "${name}_upstreams_$domain" $standin upstream --proto-root examples --schema "$schema" --count 4 --run-ms 30
         local i=0
         for p in $(ports "${name}_upstreams_$domain"); do
             i=$((i + 1))
-            rows+="{\"name\":\"$domain-u$i\",\"role\":\"upstream\",\"failure_domain\":\"$domain\",\"rack\":\"r1\",\"address\":\"127.0.0.1:$p\",\"label\":\"$label\",\"slots\":8,\"leaving\":false},"
+            register_upstream "$platform" "$domain-u$i" "$domain" "$p" "$label"
         done
         for i in 1 2; do
             start "${name}_${domain}_e$i" $balsammill serve --vm "$domain-e$i" --failure-domain "$domain" \
                 --deployment "$name" --platform "$platform"
-            rows+="{\"name\":\"$domain-e$i\",\"role\":\"entry\",\"failure_domain\":\"$domain\",\"rack\":\"r1\",\"address\":\"127.0.0.1:$(port "${name}_${domain}_e$i" peer)\",\"label\":\"\",\"slots\":0,\"leaving\":false},"
         done
     done
-    curl -sS -X PUT -H 'Content-Type: application/json' --data "{\"vms\":[${rows%,}]}" "http://$platform/control/vms" >/dev/null
     sed "s/\"failureDomains\": .*/\"failureDomains\": [\"$domain1\", \"$domain2\"],/" "examples/$name/deployment.json" >"$work/$name.json"
     $balsammill check --config "$work/$name.json" --schema-root examples
     entry=127.0.0.1:$(port "${name}_${domain1}_e1" listen)
--- a/standin/PlatformCommand.cpp
+++ b/standin/PlatformCommand.cpp
@@ -1,7 +1,7 @@
 #include "Commands.h"
 
 #include "Lifetime.h"
-#include "PlatformService.h"
+#include "operators/OperatorStore.h"
 
 #include <CLI/CLI.hpp>
 
@@ -20,21 +20,17 @@
     struct Options {
         ListenOptions listen;
         std::uint64_t seed { 1 };
-        int maxConnections { 512 };
     };
     auto options = std::make_shared<Options>();
-    auto* command = app.add_subcommand("platform", "Serve the platform's table, object store and VM list");
+    auto* command = app.add_subcommand("platform", "Serve the platform's store");
     addListenOptions(*command, options->listen);
     command->add_option("--seed", options->seed, "Seed of the lost answers");
-    command->add_option("--max-connections", options->maxConnections, "Concurrent connections")
-        ->check(CLI::Range(1, 4096));
     command->callback([options] {
         const Lifetime lifetime(options->listen.exitWithStdin);
-        PlatformService platform(options->seed);
-        const HttpService http({ .port = options->listen.port,
-            .maxConnections = options->maxConnections,
-            .handler = [&](HttpRequest& request, HttpResponse& response) { platform.handle(request, response); } });
-        printReady(http.port());
+        ::Standin::LoopThread loop;
+        const ::Standin::OperatorStore store(loop, { .port = options->listen.port, .seed = options->seed });
+        const auto address = store.address();
+        printReady(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
         lifetime.waitForEnd();
         endProcess();
     });
--- a/standin/operators/OperatorStore.cpp
+++ b/standin/operators/OperatorStore.cpp
@@ -37,6 +37,9 @@
 
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
+constexpr std::string_view controlPrefix = "/control/";
+constexpr std::size_t mostRowsAtOnce = 500;
+
 void writeRow(Writer& writer, const std::string& table, const std::string& part, const std::string& key,
     const std::string& value, std::uint64_t version)
 {
@@ -55,10 +58,17 @@
 } // namespace
 
 OperatorStore::OperatorStore(LoopThread& loop)
+    : OperatorStore(loop, Options {})
+{
+}
+
+OperatorStore::OperatorStore(LoopThread& loop, const Options& options)
     : loop_(loop)
+    , random_(options.seed)
 {
-    loop_.run([this] {
-        server_ = std::make_unique<Balsammill::HttpServer>(loop_.context(), Balsammill::NetworkAddress("127.0.0.1:0"),
+    loop_.run([this, &options] {
+        const Balsammill::NetworkAddress address("127.0.0.1:" + std::to_string(options.port));
+        server_ = std::make_unique<Balsammill::HttpServer>(loop_.context(), address,
             [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) {
                 handle(request, exchange);
             });
@@ -76,20 +86,19 @@
 
 void OperatorStore::put(const std::string& table, const std::string& key, const std::string& value)
 {
-    loop_.run([&] {
-        ++version_;
-        rows_[{ table, {}, key }] = { .value = value, .version = version_, .deleted = false };
-        wakeWaiters();
-    });
+    loop_.run([&] { setRow(table, key, value, false); });
 }
 
 void OperatorStore::remove(const std::string& table, const std::string& key)
 {
-    loop_.run([&] {
-        ++version_;
-        rows_[{ table, {}, key }] = { .value = {}, .version = version_, .deleted = true };
-        wakeWaiters();
-    });
+    loop_.run([&] { setRow(table, key, {}, true); });
+}
+
+void OperatorStore::setRow(const std::string& table, const std::string& key, const std::string& value, bool deleted)
+{
+    ++version_;
+    rows_[{ table, {}, key }] = { .value = value, .version = version_, .deleted = deleted };
+    wakeWaiters();
 }
 
 std::string OperatorStore::valueOf(const std::string& table, const std::string& key)
@@ -100,9 +109,9 @@
     });
 }
 
-void OperatorStore::setDown(bool down)
+void OperatorStore::setFaults(const StoreFaults& faults)
 {
-    loop_.run([&] { down_ = down; });
+    loop_.run([&] { faults_ = faults; });
 }
 
 void OperatorStore::loseAnswers(int writes)
@@ -120,21 +129,105 @@
     return loop_.run([&] { return writes_; });
 }
 
+void OperatorStore::runAfter(std::chrono::milliseconds delay, std::function<void()> action)
+{
+    if (delay.count() == 0) {
+        action();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
+    timer->expires_after(delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& error) {
+        if (!error)
+            action();
+    });
+}
+
 void OperatorStore::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
 {
-    if (down_) {
-        exchange->respond({ .status = 503, .fields = {}, .body = {} });
+    const auto path = Poco::URI(request.target).getPath();
+    if (path.starts_with(controlPrefix)) {
+        handleControl(request, path, *exchange);
+        return;
+    }
+    const bool writes = path == "/balsammill/rows-tx";
+    if (faults_.outage || (writes && writeIsOverRate())) {
+        exchange->respond({ .status = faults_.outage ? 503U : 429U, .fields = {}, .body = {} });
+        return;
+    }
+    runAfter(writes ? faults_.writeDelay : faults_.readDelay,
+        [this, request, path, exchange] { handleCall(request, path, exchange); });
+}
+
+bool OperatorStore::writeIsOverRate()
+{
+    if (faults_.writesPerSecond <= 0)
+        return false;
+    // A second's worth of writes may come at once.
+    const auto now = std::chrono::steady_clock::now();
+    const auto spacing = std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+        std::chrono::duration<double>(1 / faults_.writesPerSecond));
+    if (nextWriteAt_ > now + std::chrono::seconds(1))
+        return true;
+    nextWriteAt_ = std::max(nextWriteAt_, now) + spacing;
+    return false;
+}
+
+void OperatorStore::handleControl(const HttpRequest& request, const std::string& path, HttpExchange& exchange)
+{
+    constexpr std::string_view rowsPrefix = "/control/rows/";
+    if (path.starts_with(rowsPrefix)) {
+        const auto name = path.substr(rowsPrefix.size());
+        const auto slash = name.find('/');
+        if (slash == std::string::npos || (request.method != "PUT" && request.method != "DELETE")) {
+            exchange.respond({ .status = 400, .fields = {}, .body = {} });
+            return;
+        }
+        setRow(name.substr(0, slash), name.substr(slash + 1), request.body, request.method == "DELETE");
+        exchange.respond({ .status = 200, .fields = {}, .body = {} });
+        return;
+    }
+    rapidjson::Document body;
+    body.Parse(request.body.data(), request.body.size());
+    if (path != "/control/faults" || request.method != "PUT" || !body.IsObject()) {
+        exchange.respond({ .status = 404, .fields = {}, .body = {} });
+        return;
+    }
+    auto next = faults_;
+    const auto number = [&](const char* name, double present) {
+        return body.HasMember(name) && body[name].IsNumber() ? body[name].GetDouble() : present;
+    };
+    if (body.HasMember("outage") && body["outage"].IsBool())
+        next.outage = body["outage"].GetBool();
+    next.loseAnswers = number("lose_answers", next.loseAnswers);
+    next.writesPerSecond = number("writes_per_second", next.writesPerSecond);
+    next.writeDelay = std::chrono::milliseconds(
+        static_cast<int>(number("write_delay_ms", static_cast<double>(next.writeDelay.count()))));
+    next.readDelay = std::chrono::milliseconds(
+        static_cast<int>(number("read_delay_ms", static_cast<double>(next.readDelay.count()))));
+    if (next.loseAnswers < 0 || next.loseAnswers > 1) {
+        exchange.respond({ .status = 400, .fields = {}, .body = {} });
         return;
     }
+    faults_ = next;
+    exchange.respond({ .status = 200, .fields = {}, .body = {} });
+}
+
+void OperatorStore::handleCall(
+    const HttpRequest& request, const std::string& path, const std::shared_ptr<HttpExchange>& exchange)
+{
     const Poco::URI uri(request.target);
     std::map<std::string, std::string> query;
     for (const auto& [key, value] : uri.getQueryParameters())
         query[key] = value;
-    if (uri.getPath() == "/balsammill/rows-tx")
+    // An outage that began while a write was delayed stops it, too.
+    if (faults_.outage)
+        exchange->respond({ .status = 503, .fields = {}, .body = {} });
+    else if (path == "/balsammill/rows-tx")
         handleWrite(request, exchange);
-    else if (uri.getPath() == "/balsammill/rows-get")
+    else if (path == "/balsammill/rows-get")
         handleRead(query, *exchange);
-    else if (uri.getPath() == "/balsammill/rows-feed")
+    else if (path == "/balsammill/rows-feed")
         handleFeed(query, exchange);
     else
         exchange->respond({ .status = 404, .fields = {}, .body = {} });
@@ -175,19 +268,52 @@
     writer.Key("ver");
     writer.Uint64(version_);
     writer.EndObject();
+    const bool lost = std::bernoulli_distribution(faults_.loseAnswers)(random_);
     if (lostAnswers_ > 0)
         --lostAnswers_;
-    else
+    else if (!lost)
         exchange->respond({ .status = holds ? 200U : 412U, .fields = {}, .body = buffer.GetString() });
     wakeWaiters();
 }
 
 void OperatorStore::handleRead(const std::map<std::string, std::string>& query, HttpExchange& exchange)
 {
-    const auto part = query.find("part");
-    exchange.respond({ .status = 200,
-        .fields = {},
-        .body = changesAfter(query.at("table"), 0, part == query.end() ? std::string() : part->second) });
+    const auto given = [&](const char* name) {
+        const auto found = query.find(name);
+        return found == query.end() ? std::string() : found->second;
+    };
+    const auto table = given("table");
+    const auto part = given("part");
+    const auto to = given("target");
+    const auto limit = given("limit").empty() ? mostRowsAtOnce : std::stoul(given("limit"));
+    std::size_t count = 0;
+    bool hasMore = false;
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    writer.Key("rows");
+    writer.StartArray();
+    for (auto it = rows_.lower_bound({ table, part, given("from") }); it != rows_.end(); ++it) {
+        const auto& [key, row] = *it;
+        if (key.table != table || key.part != part || (!to.empty() && key.key >= to))
+            break;
+        if (row.deleted)
+            continue;
+        hasMore = count == limit;
+        if (hasMore)
+            break;
+        ++count;
+        writer.StartObject();
+        writeRow(writer, key.table, key.part, key.key, row.value, row.version);
+        writer.EndObject();
+    }
+    writer.EndArray();
+    writer.Key("has_more");
+    writer.Bool(hasMore);
+    writer.Key("ver");
+    writer.Uint64(version_);
+    writer.EndObject();
+    exchange.respond({ .status = 200, .fields = {}, .body = buffer.GetString() });
 }
 
 void OperatorStore::handleFeed(
@@ -199,24 +325,19 @@
         return;
     }
     waiters_.push_back({ .table = query.at("table"), .after = after, .exchange = exchange });
-    auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
-    timer->expires_after(std::chrono::milliseconds(std::stoi(query.at("wait_ms"))));
-    timer->async_wait([this, timer, exchange](const boost::system::error_code& error) {
-        if (error)
-            return;
+    runAfter(std::chrono::milliseconds(std::max(std::stoi(query.at("wait_ms")), 1)), [this, exchange] {
         const auto found = std::find_if(
             waiters_.begin(), waiters_.end(), [&](const Waiter& waiter) { return waiter.exchange == exchange; });
         if (found == waiters_.end())
             return;
-        const auto body = changesAfter(found->table, found->after, std::nullopt);
+        const auto body = changesAfter(found->table, found->after);
         waiters_.erase(found);
         exchange->respond({ .status = 200, .fields = {}, .body = body });
     });
     wakeWaiters();
 }
 
-std::string OperatorStore::changesAfter(
-    const std::string& table, std::uint64_t after, const std::optional<std::string>& part) const
+std::string OperatorStore::changesAfter(const std::string& table, std::uint64_t after) const
 {
     rapidjson::StringBuffer buffer;
     Writer writer(buffer);
@@ -224,7 +345,7 @@
     writer.Key("rows");
     writer.StartArray();
     for (const auto& [key, row] : rows_) {
-        if (key.table != table || (part && key.part != *part) || row.version <= after || (after == 0 && row.deleted))
+        if (key.table != table || row.version <= after)
             continue;
         writer.StartObject();
         writeRow(writer, key.table, key.part, key.key, row.value, row.version);
@@ -235,8 +356,6 @@
         writer.EndObject();
     }
     writer.EndArray();
-    writer.Key("has_more");
-    writer.Bool(false);
     writer.Key("ver");
     writer.Uint64(version_);
     writer.EndObject();
@@ -257,8 +376,7 @@
         }
     }
     for (const auto& waiter : ready)
-        waiter.exchange->respond(
-            { .status = 200, .fields = {}, .body = changesAfter(waiter.table, waiter.after, std::nullopt) });
+        waiter.exchange->respond({ .status = 200, .fields = {}, .body = changesAfter(waiter.table, waiter.after) });
 }
 
 } // namespace Standin
--- a/tests/faultrun/FaultInjector.cpp
+++ b/tests/faultrun/FaultInjector.cpp
@@ -212,14 +212,14 @@
         return; // Entries that are cut off from the platform cannot know; the check needs a healthy list.
     auto& upstreams = deployment_.upstreams();
     const auto& upstream = upstreams[static_cast<std::size_t>(uniform(0, static_cast<int>(upstreams.size()) - 1))];
-    deployment_.publishVms({ upstream.vm });
+    deployment_.publishUpstreams({ upstream.vm });
     const auto beginUs = wallClockUs() + leavingGraceUs;
     add("leaving " + upstream.vm, 5s, [this, vm = upstream.vm, beginUs] {
         {
             std::lock_guard lock(records_.mutex);
             records_.quiet.push_back({ vm, beginUs, wallClockUs() });
         }
-        deployment_.publishVms();
+        deployment_.publishUpstreams();
     });
 }
 
--- a/tests/integration/PlatformFailureTests.cpp
+++ b/tests/integration/PlatformFailureTests.cpp
@@ -104,7 +104,7 @@
     auto& entry = deployment.entries()[0];
     auto& leaving = deployment.upstreams()[0];
     auto& drained = deployment.upstreams()[1];
-    deployment.publishVms({ leaving.vm });
+    deployment.publishUpstreams({ leaving.vm });
     std::this_thread::sleep_for(3s);
     const auto startsBefore = readStarts(leaving.port).size();
     for (int i = 0; i < 60; ++i)
@@ -115,7 +115,7 @@
         "starts before " << startsBefore << ", after " << readStarts(leaving.port).size());
     CHECK(readStarts(drained.port).size() >= 60);
 
-    deployment.publishVms();
+    deployment.publishUpstreams();
     REQUIRE(deployment.operate(entry, "DrainVm", R"({"vm":")" + drained.vm + "\"}").ok);
     std::this_thread::sleep_for(3s);
     const auto drainedBefore = readStarts(drained.port).size();
--- a/tests/integration/support/Deployment.cpp
+++ b/tests/integration/support/Deployment.cpp
@@ -61,7 +61,7 @@
     reserveEntries();
     if (options_.proxies || options_.upstreamProxies)
         startProxies();
-    publishVms();
+    publishUpstreams();
     for (auto& entry : entries_)
         startEntry(entry);
     const auto applied = operate(entries_.front(), "ApplyConfig", exampleConfig(0));
@@ -163,34 +163,22 @@
     });
 }
 
-void Deployment::publishVms(const std::set<std::string>& leaving) const
+void Deployment::publishUpstreams(const std::set<std::string>& leaving) const
 {
-    Poco::JSON::Array vms;
-    const auto add
-        = [&](const std::string& vm, const std::string& role, const std::string& domain, std::uint16_t port) {
-              Poco::JSON::Object row;
-              row.set("name", vm);
-              row.set("role", role);
-              row.set("failure_domain", domain);
-              row.set("rack", domain + "-r1");
-              row.set("address", loopback(port));
-              row.set("label", role == "upstream" ? upstreamLabel : "");
-              row.set("slots", role == "upstream" ? options_.slots : 0);
-              row.set("leaving", leaving.contains(vm));
-              vms.add(row);
-          };
-    for (const auto& entry : entries_)
-        add(entry.vm, "entry", entry.domain, entry.peerPort.number());
-    for (const auto& upstream : upstreams_)
-        add(upstream.vm, "upstream", upstream.domain,
-            options_.upstreamProxies ? proxyPorts_.at("upstream-" + upstream.vm) : upstream.port);
-    Poco::JSON::Object list;
-    list.set("vms", vms);
-    std::ostringstream text;
-    list.stringify(text);
-    const auto reply = httpRequest("PUT", platformPort(), "/control/vms", text.str());
-    if (reply.status >= 300)
-        throw std::runtime_error("the platform refused the list of VMs with status " + std::to_string(reply.status));
+    for (const auto& upstream : upstreams_) {
+        const auto port = options_.upstreamProxies ? proxyPorts_.at("upstream-" + upstream.vm) : upstream.port;
+        Poco::JSON::Object row;
+        row.set("service", upstreamLabel);
+        row.set("zone", upstream.domain);
+        row.set("address", loopback(port));
+        row.set("slots", options_.slots);
+        row.set("state", leaving.contains(upstream.vm) ? "draining" : "ready");
+        std::ostringstream text;
+        row.stringify(text);
+        const auto reply = httpRequest("PUT", platformPort(), "/control/rows/servers/" + upstream.vm, text.str());
+        if (reply.status >= 300)
+            throw std::runtime_error("the platform refused an upstream with status " + std::to_string(reply.status));
+    }
 }
 
 Entry& Deployment::entry(const std::string& vm)
--- a/tests/integration/support/Deployment.h
+++ b/tests/integration/support/Deployment.h
@@ -65,8 +65,8 @@
     std::uint16_t platformPort() const { return platform_->portFromReadyLine("port"); }
 
     void startEntry(Entry&);
-    /// Tells the platform's list about all VMs; those named as leaving are marked so.
-    void publishVms(const std::set<std::string>& leaving = {}) const;
+    /// Registers all upstreams with the platform; those named as leaving are marked so.
+    void publishUpstreams(const std::set<std::string>& leaving = {}) const;
     bool waitUntilReady(const Entry&) const;
     bool waitUntilAllReady() const;
 
