Keep the metrics of both commands in one place, with histograms

Cause: the node had a second class for metrics, with short names that were completed elsewhere, no histograms in common with serve, and no metrics for calls to the store and bytes to other failure domains.

Change: NodeMetrics is gone. Metrics has histograms; the store's client tells an observer the kind, outcome and time of each call; connections between entries count their bytes by own and other failure domains.

Checked: unit tests of all libraries, the adapter and the stand-ins pass; the histogram test fails without cumulative buckets.

--- a/libs/node/src/DurableJobs.cpp
+++ b/libs/node/src/DurableJobs.cpp
@@ -207,15 +207,15 @@
             return;
         switch (outcome) {
         case ShardJournal::Outcome::Written:
-            context_.metrics.count("journal_writes", R"(outcome="written")");
+            context_.metrics.add("balsammill_journal_writes_total", R"(outcome="written")");
             handleWritten(batch, sentAt);
             return;
         case ShardJournal::Outcome::Refused:
-            context_.metrics.count("journal_writes", R"(outcome="refused")");
+            context_.metrics.add("balsammill_journal_writes_total", R"(outcome="refused")");
             handleRefused(batch);
             return;
         case ShardJournal::Outcome::Fenced:
-            context_.metrics.count("journal_writes", R"(outcome="fenced")");
+            context_.metrics.add("balsammill_journal_writes_total", R"(outcome="fenced")");
             handlers_.fenced();
             return;
         }
@@ -225,7 +225,7 @@
 void DurableJobs::handleWritten(const Shards::JournalBatch& batch, TimePoint sentAt)
 {
     const auto now = monotonicNow();
-    context_.metrics.observeMs("journal_write_time", {}, toMs(now - sentAt));
+    context_.metrics.observe("balsammill_journal_write_time_ms", {}, toMs(now - sentAt));
     book_.handleWritten(batch);
     for (const auto& progress : batch.progress)
         engine_.handleRecorded(progress.job, progress.mark);
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -59,7 +59,7 @@
     NodeOptions options;
     boost::asio::io_context loop { 1 };
     StructuredLog log;
-    NodeMetrics metrics;
+    Metrics metrics;
     NodeContext context;
     Platform::Store store;
     PeerNetwork peers;
@@ -93,7 +93,10 @@
             .incarnation = newIncarnation(),
             .log = log,
             .metrics = metrics }
-        , store(loop, settings.storeAddress)
+        , store(loop, settings.storeAddress,
+              [this](Platform::StoreCall call, Platform::StoreStatus status, Duration took) {
+                  noteStoreCall(call, status, took);
+              })
         , peers(loop,
               { .listen = settings.peerListen,
                   .self = { .vm = settings.vm, .incarnation = context.incarnation },
@@ -152,6 +155,15 @@
         jobs.advance(monotonicNow());
     }
 
+    void noteStoreCall(Platform::StoreCall call, Platform::StoreStatus status, Duration took)
+    {
+        const auto kind = "kind=\"" + std::string(nameOf(call)) + "\"";
+        metrics.add("balsammill_store_calls_total", kind + ",outcome=\"" + std::string(nameOf(status)) + "\"");
+        // A call that waits for changes says nothing about the store's speed.
+        if (call != Platform::StoreCall::Follow)
+            metrics.observe("balsammill_store_call_ms", kind, toMs(took));
+    }
+
     void noteStore(bool answers, const std::string& reason)
     {
         if (answers)
@@ -251,7 +263,7 @@
         // Without a connection the entry has taken the submission for lost, or will when it hears of the new owner.
         const auto link = peers.linkOf(to.peer);
         if (!link) {
-            metrics.count("answers_undelivered");
+            metrics.add("balsammill_answers_undelivered_total");
             return;
         }
         balsammill::internal::ShardPeerMessage message;
@@ -364,17 +376,20 @@
 
     void respondMetrics(HttpExchange& exchange)
     {
-        metrics.gauge("store_calls", static_cast<double>(store.calls()));
-        metrics.gauge("open_requests", static_cast<double>(clientServer.openRequests()));
-        metrics.gauge("open_connections", static_cast<double>(clientServer.openConnections()));
-        metrics.gauge("log_lines_dropped", static_cast<double>(log.droppedLines()));
+        metrics.set(
+            "balsammill_peer_bytes_sent", R"(to="own_domain")", static_cast<double>(peers.sentBytes().ownDomain));
+        metrics.set(
+            "balsammill_peer_bytes_sent", R"(to="other_domains")", static_cast<double>(peers.sentBytes().otherDomains));
+        metrics.set("balsammill_open_requests", {}, static_cast<double>(clientServer.openRequests()));
+        metrics.set("balsammill_open_connections", {}, static_cast<double>(clientServer.openConnections()));
+        metrics.set("balsammill_log_lines_dropped", {}, static_cast<double>(log.droppedLines()));
         for (const auto& [name, server] : ownership.servers()) {
             const auto load = server->load();
-            metrics.gauge("shard_waiting_jobs{shard=\"" + name.value + "\"}", load.waitingJobs);
-            metrics.gauge("shard_running_tasks{shard=\"" + name.value + "\"}", load.runningTasks);
-            metrics.gauge(
-                "shard_free_millicores{shard=\"" + name.value + "\"}", static_cast<double>(load.freeMilliCores));
-            metrics.gauge("shard_usable_upstreams{shard=\"" + name.value + "\"}", load.usableUpstreams);
+            const auto shardLabel = "shard=\"" + name.value + "\"";
+            metrics.set("balsammill_shard_waiting_jobs", shardLabel, load.waitingJobs);
+            metrics.set("balsammill_shard_running_tasks", shardLabel, load.runningTasks);
+            metrics.set("balsammill_shard_free_millicores", shardLabel, static_cast<double>(load.freeMilliCores));
+            metrics.set("balsammill_shard_usable_upstreams", shardLabel, load.usableUpstreams);
         }
         exchange.respond(
             { .status = 200, .fields = {}, .body = metrics.exposition(), .contentType = "text/plain; version=0.0.4" });
--- a/libs/node/src/JobClient.cpp
+++ b/libs/node/src/JobClient.cpp
@@ -143,7 +143,7 @@
     if (!target) {
         context_.log.event(
             "job.no_owner", { { "id", jobOf(request).value }, { "attempts", std::uint64_t { request.attempts } } });
-        context_.metrics.count("refused_without_owner");
+        context_.metrics.add("balsammill_refused_without_owner_total");
         boost::asio::post(context_.loop, [this, number] {
             if (requests_.contains(number))
                 answer(number, { .kind = JobAnswer::Kind::Refused, .retryAfter = retryWithoutOwner });
@@ -235,7 +235,7 @@
     context_.log.event("job.home_unreachable",
         { { "id", jobOf(request).value }, { "attempts", std::uint64_t { request.attempts } },
             { "in_doubt", request.inDoubt ? "yes" : "no" } });
-    context_.metrics.count("homes_unreachable");
+    context_.metrics.add("balsammill_homes_unreachable_total");
     const bool submission = std::holds_alternative<Submission>(request.what);
     auto kind = JobAnswer::Kind::Unreachable;
     if (submission)
--- a/libs/node/src/JobFront.cpp
+++ b/libs/node/src/JobFront.cpp
@@ -78,7 +78,7 @@
 void JobFront::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
 {
     if (!queues_) {
-        context_.metrics.count("refused_without_configuration");
+        context_.metrics.add("balsammill_refused_without_configuration_total");
         exchange->respond(Platform::notServing(retryWithoutConfiguration));
         return;
     }
@@ -86,7 +86,7 @@
     const auto queues = queues_;
     const auto* queue = queues->find(request.host, path);
     if (queue == nullptr) {
-        context_.metrics.count("unknown_queue");
+        context_.metrics.add("balsammill_unknown_queue_total");
         exchange->respond(Platform::noSuchQueue());
         return;
     }
@@ -116,13 +116,13 @@
     try {
         submission = Platform::parseSubmission(request.body, JobId(id), queue);
     } catch (const Platform::FormatError& error) {
-        context_.metrics.count("bad_requests");
+        context_.metrics.add("balsammill_bad_requests_total");
         context_.log.event("job.bad_request", { { "id", id }, { "reason", error.what() } });
         exchange->respond(Platform::badRequest(error.what()));
         return;
     }
     if (!submission.unsupported.empty()) {
-        context_.metrics.count("unsupported");
+        context_.metrics.add("balsammill_unsupported_total");
         context_.log.event("job.unsupported", { { "id", id }, { "feature", submission.unsupported } });
         exchange->respond(Platform::unsupportedJob(submission.unsupported));
         return;
@@ -133,7 +133,7 @@
     for (const auto& step : submission.spec.steps)
         declared += step.estimate;
     if (stopAt_ != TimePoint::max() && arrivedAt + declared * declaredTimeMargin + answerMargin > stopAt_) {
-        context_.metrics.count("refused_while_stopping");
+        context_.metrics.add("balsammill_refused_while_stopping_total");
         context_.log.event("job.refused_while_stopping", { { "id", id } });
         exchange->respond(Platform::notServing(retryWhileStopping));
         return;
@@ -143,8 +143,8 @@
     const auto number = jobs_.submit(std::move(submission.spec), answerBy(request, arrivedAt),
         [this, exchange, id, queueLabel, arrivedAt](const JobAnswer& answer) {
             const auto took = toMs(monotonicNow() - arrivedAt);
-            context_.metrics.count("answers", queueLabel + ",outcome=\"" + nameOf(answer.kind) + "\"");
-            context_.metrics.observeMs("answer_time", queueLabel, took);
+            context_.metrics.add("balsammill_answers_total", queueLabel + ",outcome=\"" + nameOf(answer.kind) + "\"");
+            context_.metrics.observe("balsammill_answer_time_ms", queueLabel, took);
             const bool good = answer.kind == JobAnswer::Kind::Completed || answer.kind == JobAnswer::Kind::Accepted;
             if (!good || context_.log.samples(id))
                 context_.log.event("job.answered",
@@ -152,7 +152,7 @@
             exchange->respond(responseTo(answer));
         });
     exchange->onAbandoned([this, number, id, arrivedAt] {
-        context_.metrics.count("abandoned");
+        context_.metrics.add("balsammill_abandoned_total");
         if (context_.log.samples(id))
             context_.log.event("job.abandoned",
                 { { "id", id }, { "ms", static_cast<std::int64_t>(toMs(monotonicNow() - arrivedAt)) } });
@@ -171,8 +171,8 @@
 {
     const auto arrivedAt = monotonicNow();
     const auto callback = [this, exchange, id, cancel](const JobAnswer& answer) {
-        context_.metrics.count(
-            cancel ? "cancellations" : "state_queries", std::string("outcome=\"") + nameOf(answer.kind) + "\"");
+        context_.metrics.add(cancel ? "balsammill_cancellations_total" : "balsammill_state_queries_total",
+            std::string("outcome=\"") + nameOf(answer.kind) + "\"");
         if (cancel || answer.kind == JobAnswer::Kind::Unreachable)
             context_.log.event(cancel ? "job.cancel_answered" : "job.state_unavailable",
                 { { "id", id.value }, { "outcome", nameOf(answer.kind) } });
--- a/libs/node/src/NodeContext.h
+++ b/libs/node/src/NodeContext.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "NodeMetrics.h"
-
+#include "balsammill/observe/Metrics.h"
 #include "balsammill/observe/StructuredLog.h"
 #include "balsammill/routing/NodeSettings.h"
 
@@ -18,7 +17,7 @@
     NodeSettings settings;
     Incarnation incarnation;
     StructuredLog& log;
-    NodeMetrics& metrics;
+    Metrics& metrics;
 };
 
 } // namespace Balsammill
--- a/libs/node/src/PeerLink.cpp
+++ b/libs/node/src/PeerLink.cpp
@@ -77,6 +77,7 @@
     for (int shift = 24; shift >= 0; shift -= 8)
         output_.push_back(static_cast<char>((size >> shift) & 0xFF));
     message.AppendToString(&output_);
+    sentBytes_ += lengthBytes + size;
     if (open_ && writing_.empty())
         write();
 }
--- a/libs/node/src/PeerLink.h
+++ b/libs/node/src/PeerLink.h
@@ -51,6 +51,7 @@
     bool inbound() const { return inbound_; }
     bool open() const { return open_; }
     bool closed() const { return closed_; }
+    std::uint64_t sentBytes() const { return sentBytes_; }
     TimePoint lastHeardAt() const { return lastHeardAt_; }
     const PeerId& peer() const { return peer_; }
     const FailureDomain& domain() const { return domain_; }
@@ -80,6 +81,7 @@
     std::string input_;
     std::string output_;
     std::string writing_;
+    std::uint64_t sentBytes_ { 0 };
     TimePoint lastHeardAt_ {};
     bool open_ { false };
     bool closed_ { false };
--- a/libs/node/src/PeerNetwork.cpp
+++ b/libs/node/src/PeerNetwork.cpp
@@ -137,8 +137,22 @@
     handlers_.message(from, message);
 }
 
+void PeerNetwork::countSent(const PeerLink& link, SentBytes& sum) const
+{
+    (link.domain() == options_.domain ? sum.ownDomain : sum.otherDomains) += link.sentBytes();
+}
+
+PeerNetwork::SentBytes PeerNetwork::sentBytes() const
+{
+    auto sum = sentBefore_;
+    for (const auto& link : openLinks())
+        countSent(*link, sum);
+    return sum;
+}
+
 void PeerNetwork::handleEnd(PeerLink& ended, LinkEnd end)
 {
+    countSent(ended, sentBefore_);
     for (auto& [address, entry] : outbound_) {
         if (entry.link.get() != &ended)
             continue;
--- a/libs/node/src/PeerNetwork.h
+++ b/libs/node/src/PeerNetwork.h
@@ -24,6 +24,12 @@
         std::function<void(PeerLink&)> closed;
     };
 
+    /// Bytes of messages since the process started.
+    struct SentBytes {
+        std::uint64_t ownDomain { 0 };
+        std::uint64_t otherDomains { 0 };
+    };
+
     PeerNetwork(boost::asio::io_context&, const Options&, Handlers);
     ~PeerNetwork();
 
@@ -40,6 +46,7 @@
     std::shared_ptr<PeerLink> linkOf(const PeerId&) const;
     bool connectedTo(const PeerId& peer) const { return linkOf(peer) != nullptr; }
     void sendToAll(const balsammill::internal::ShardPeerMessage&);
+    SentBytes sentBytes() const;
 
 private:
     struct Outbound {
@@ -55,6 +62,7 @@
     void handle(PeerLink&, const balsammill::internal::ShardPeerMessage&);
     std::vector<std::shared_ptr<PeerLink>> openLinks() const;
     void handleEnd(PeerLink&, LinkEnd);
+    void countSent(const PeerLink&, SentBytes&) const;
 
     boost::asio::io_context& context_;
     Options options_;
@@ -62,6 +70,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<NetworkAddress, Outbound> outbound_;
     std::set<std::shared_ptr<PeerLink>> inbound_;
+    // Of connections that have ended.
+    SentBytes sentBefore_;
 };
 
 } // namespace Balsammill
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ShardOwnership.cpp
@@ -312,8 +312,8 @@
                 return;
             auto& done = pending_[name];
             done.writing = false;
-            context_.metrics.count(
-                "shard_claims", result.status == Platform::StoreStatus::Ok ? R"(outcome="won")" : R"(outcome="lost")");
+            context_.metrics.add("balsammill_shard_claims_total",
+                result.status == Platform::StoreStatus::Ok ? R"(outcome="won")" : R"(outcome="lost")");
             if (result.status == Platform::StoreStatus::Ok) {
                 auto written = ShardDirectory::encode(name, next);
                 written.version = result.version;
--- a/libs/node/src/ShardServer.cpp
+++ b/libs/node/src/ShardServer.cpp
@@ -235,7 +235,7 @@
     const bool sampled = context_.log.samples(spec.id.value);
     const auto queueLabel = "queue=\"" + spec.queue.value + "\"";
     if (const auto* redirect = std::get_if<Shards::SendToShard>(&decision)) {
-        context_.metrics.count("redirected", queueLabel);
+        context_.metrics.add("balsammill_redirected_total", queueLabel);
         if (sampled)
             context_.log.event("job.redirected",
                 { { "id", spec.id.value }, { "shard", name_.value }, { "to", redirect->shard.value },
@@ -246,7 +246,7 @@
         return;
     }
     if (const auto* refuse = std::get_if<Shards::RefuseJob>(&decision)) {
-        context_.metrics.count("refused", queueLabel);
+        context_.metrics.add("balsammill_refused_total", queueLabel);
         const auto load = engine_.load();
         context_.log.event("job.refused",
             { { "id", spec.id.value }, { "shard", name_.value }, { "queue", spec.queue.value },
@@ -266,7 +266,7 @@
             { { "id", spec.id.value }, { "shard", name_.value }, { "queue", spec.queue.value },
                 { "forecast_ms", static_cast<std::int64_t>(toMs(forecast.endAt - now)) },
                 { "objective_ms", static_cast<std::int64_t>(toMs(forecast.objectiveAt - now)) } });
-    context_.metrics.count("accepted", queueLabel);
+    context_.metrics.add("balsammill_accepted_total", queueLabel);
     const auto number = open(submitter, spec.id, spec.queue, std::move(callback));
     engine_.submit(number, std::make_shared<const Shards::JobSpec>(std::move(spec)), now - age,
         patience > Duration::zero() ? now + patience : TimePoint::max());
@@ -315,8 +315,8 @@
         [this, alive = alive_, id, queueLabel, receivedAt, callback = std::move(callback)](const OwnerAnswer& result) {
             if (*alive && result.kind == OwnerAnswer::Kind::Accepted) {
                 const auto took = toMs(monotonicNow() - receivedAt);
-                context_.metrics.count("accepted", queueLabel);
-                context_.metrics.observeMs("store_time", queueLabel, took);
+                context_.metrics.add("balsammill_accepted_total", queueLabel);
+                context_.metrics.observe("balsammill_store_time_ms", queueLabel, took);
                 if (context_.log.samples(id.value))
                     context_.log.event("job.stored",
                         { { "id", id.value }, { "shard", name_.value }, { "ms", static_cast<std::int64_t>(took) } });
@@ -332,7 +332,7 @@
         return;
     const auto number = found->second;
     bySubmitter_.erase(found);
-    context_.metrics.count("cancelled");
+    context_.metrics.add("balsammill_cancelled_total");
     if (const auto open = open_.find(number); open != open_.end()) {
         if (context_.log.samples(open->second.job.value))
             context_.log.event("job.cancelled", { { "id", open->second.job.value }, { "shard", name_.value } });
@@ -386,9 +386,9 @@
     bySubmitter_.erase(entry.submitter);
     const auto now = monotonicNow();
     const auto queueLabel = "queue=\"" + entry.queue + "\"";
-    context_.metrics.count("finished", queueLabel + ",result=\"" + nameOf(finished.result) + "\"");
-    context_.metrics.observeMs("job_time", queueLabel, toMs(now - entry.acceptedAt));
-    context_.metrics.observeMs("job_wait", queueLabel, toMs(finished.waited));
+    context_.metrics.add("balsammill_finished_total", queueLabel + ",result=\"" + nameOf(finished.result) + "\"");
+    context_.metrics.observe("balsammill_job_time_ms", queueLabel, toMs(now - entry.acceptedAt));
+    context_.metrics.observe("balsammill_job_wait_ms", queueLabel, toMs(finished.waited));
     if (finished.result != Shards::JobResult::Completed || context_.log.samples(entry.job.value))
         context_.log.event("job.ended",
             { { "id", entry.job.value }, { "shard", name_.value }, { "result", nameOf(finished.result) },
@@ -420,7 +420,7 @@
 
 void ShardServer::carryOut(const Shards::TaskAdopted& adopted)
 {
-    context_.metrics.count("tasks_adopted");
+    context_.metrics.add("balsammill_tasks_adopted_total");
     context_.log.event("task.adopted",
         { { "id", adopted.task.job.value }, { "index", std::uint64_t { adopted.task.index } },
             { "run", adopted.run.value }, { "upstream", adopted.upstream.value } });
@@ -438,7 +438,7 @@
 
 void ShardServer::carryOut(const Shards::TaskFailed& failed)
 {
-    context_.metrics.count("task_failures");
+    context_.metrics.add("balsammill_task_failures_total");
     context_.log.event("task.failed",
         { { "id", failed.task.job.value }, { "index", std::uint64_t { failed.task.index } },
             { "run", failed.run.value }, { "upstream", failed.upstream.value },
@@ -447,7 +447,7 @@
 
 void ShardServer::carryOut(const Shards::UpstreamSuspected& suspected)
 {
-    context_.metrics.count("upstreams_suspected");
+    context_.metrics.add("balsammill_upstreams_suspected_total");
     context_.log.event("upstream.suspected",
         { { "upstream", suspected.upstream.value }, { "pause_ms", static_cast<std::int64_t>(toMs(suspected.pause)) } });
 }
--- a/libs/node/src/UpstreamSession.cpp
+++ b/libs/node/src/UpstreamSession.cpp
@@ -114,12 +114,12 @@
             if (self->closed_)
                 return;
             if (result.neverSent) {
-                self->context_.metrics.count("starts", R"(outcome="unreachable")");
+                self->context_.metrics.add("balsammill_starts_total", R"(outcome="unreachable")");
                 self->engine_.handleStartRefused(
                     self->id_, start.task, start.run, Shards::StartRefusal::Unhealthy, answered);
                 self->handlers_.progressed();
             } else {
-                self->context_.metrics.count("starts", R"(outcome="unanswered")");
+                self->context_.metrics.add("balsammill_starts_total", R"(outcome="unanswered")");
                 self->settle(start, 0);
             }
             return;
@@ -132,14 +132,14 @@
             }
             const auto answer = Platform::parseStartAnswer(*result.response);
             if (const auto* refusal = std::get_if<Shards::StartRefusal>(&answer)) {
-                self->context_.metrics.count("starts", R"(outcome="refused")");
+                self->context_.metrics.add("balsammill_starts_total", R"(outcome="refused")");
                 self->context_.log.event("task.start_refused",
                     { { "id", start.task.job.value }, { "upstream", self->id_.value },
                         { "status", std::uint64_t { result.response->status } }, { "body", result.response->body } });
                 self->engine_.handleStartRefused(self->id_, start.task, start.run, *refusal, answered);
                 self->handlers_.progressed();
             } else {
-                self->context_.metrics.count("starts", R"(outcome="started")");
+                self->context_.metrics.add("balsammill_starts_total", R"(outcome="started")");
                 self->engine_.handleStarted(self->id_, start.task, start.run, answered);
             }
         } catch (const Platform::FormatError& error) {
@@ -264,7 +264,7 @@
     if (closed_)
         return;
     const auto now = monotonicNow();
-    context_.metrics.count("stops");
+    context_.metrics.add("balsammill_stops_total");
     orders_->send(Platform::encodeStop(stop, fence_), now + answerTimeout,
         [self = shared_from_this(), stop](const HttpResult& result) {
             if (self->closed_)
@@ -298,7 +298,7 @@
     const auto waitFor = wait ? reportWait : Duration::zero();
     const auto lastEnd = engine_.lastEndToAcknowledge(id_);
     const auto request = Platform::encodeReportRequest(id_, lease, fence_, lastEnd, waitFor);
-    context_.metrics.count("upstream_reports");
+    context_.metrics.add("balsammill_upstream_reports_total");
     reports_->send(
         request, now + waitFor + answerTimeout, [self = shared_from_this(), now, lastEnd](const HttpResult& result) {
             if (self->closed_)
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -111,6 +111,58 @@
     std::map<std::string, std::map<std::string, std::atomic<Value>, std::less<>>, std::less<>> values_;
 };
 
+/// Times by metric name and labels. The buckets are cumulative only in the exposition.
+class HistogramTable {
+public:
+    void add(std::string_view name, std::string_view labels, double milliseconds)
+    {
+        requireMetricName(name);
+        std::size_t bucket = 0;
+        while (bucket < Metrics::bucketsMs.size() && milliseconds > Metrics::bucketsMs.at(bucket))
+            ++bucket;
+        std::lock_guard lock(mutex_);
+        auto& histogram = histograms_[std::string(name)][std::string(labels)];
+        ++histogram.counts.at(bucket);
+        histogram.sum += milliseconds;
+        ++histogram.total;
+    }
+
+    void append(std::string& text) const
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [name, byLabels] : histograms_) {
+            text.append("# TYPE ").append(name).append(" histogram\n");
+            for (const auto& [labels, histogram] : byLabels)
+                append(text, name, labels, histogram);
+        }
+    }
+
+private:
+    struct Histogram {
+        std::array<std::uint64_t, Metrics::bucketsMs.size() + 1> counts {};
+        double sum { 0 };
+        std::uint64_t total { 0 };
+    };
+
+    static void append(
+        std::string& text, const std::string& name, const std::string& labels, const Histogram& histogram)
+    {
+        const auto bucketLabels = labels.empty() ? std::string() : labels + ",";
+        std::uint64_t cumulative = 0;
+        for (std::size_t i = 0; i < Metrics::bucketsMs.size(); ++i) {
+            cumulative += histogram.counts.at(i);
+            appendSample(text, name + "_bucket", bucketLabels + "le=\"" + formatNumber(Metrics::bucketsMs.at(i)) + "\"",
+                std::to_string(cumulative));
+        }
+        appendSample(text, name + "_bucket", bucketLabels + "le=\"+Inf\"", std::to_string(histogram.total));
+        appendSample(text, name + "_sum", labels, formatNumber(histogram.sum));
+        appendSample(text, name + "_count", labels, std::to_string(histogram.total));
+    }
+
+    mutable std::mutex mutex_;
+    std::map<std::string, std::map<std::string, Histogram>> histograms_;
+};
+
 using CallKey = std::pair<MethodName, TeamName>;
 
 std::string callLabels(const CallKey& key)
@@ -125,11 +177,17 @@
     template <typename Visit> void forEachSeries(Visit) const;
     void appendSummary(std::string&, std::string_view name, Balsammill::Detail::QuantileEstimator CallSeries::*) const;
     void appendOutcomes(std::string&) const;
+    bool hasCalls() const
+    {
+        std::shared_lock lock(mutex);
+        return !calls.empty();
+    }
 
     mutable std::shared_mutex mutex;
     std::map<CallKey, std::unique_ptr<CallSeries>> calls;
     ValueTable<std::uint64_t> counters;
     ValueTable<double> gauges;
+    HistogramTable histograms;
 };
 
 CallSeries& Metrics::Detail::seriesOf(const CallSample& sample)
@@ -222,15 +280,23 @@
     detail_->gauges.change(name, labels, [newValue](auto& value) { value.store(newValue); });
 }
 
+void Metrics::observe(std::string_view name, std::string_view labels, double milliseconds)
+{
+    detail_->histograms.add(name, labels, milliseconds);
+}
+
 std::string Metrics::exposition() const
 {
     std::string text;
-    detail_->appendOutcomes(text);
-    detail_->appendSummary(text, "balsammill_response_seconds", &CallSeries::response);
-    detail_->appendSummary(text, "balsammill_queue_seconds", &CallSeries::queued);
-    detail_->appendSummary(text, "balsammill_slowdown", &CallSeries::slowdown);
+    if (detail_->hasCalls()) {
+        detail_->appendOutcomes(text);
+        detail_->appendSummary(text, "balsammill_response_seconds", &CallSeries::response);
+        detail_->appendSummary(text, "balsammill_queue_seconds", &CallSeries::queued);
+        detail_->appendSummary(text, "balsammill_slowdown", &CallSeries::slowdown);
+    }
     detail_->counters.append(text, "counter", [](std::uint64_t value) { return std::to_string(value); });
     detail_->gauges.append(text, "gauge", [](double value) { return formatNumber(value); });
+    detail_->histograms.append(text);
     return text;
 }
 
--- a/libs/observe/tests/MetricsTests.cpp
+++ b/libs/observe/tests/MetricsTests.cpp
@@ -96,3 +96,21 @@
     CHECK(contains(text, R"(balsammill_response_seconds_count{method="tanim/BulaklakCheck",team="team"} 8000)"));
     CHECK(contains(text, "balsammill_events_total 8000\n"));
 }
+
+// Guards against histograms whose buckets do not add up, which dashboards would show as negative rates.
+TEST_CASE("A histogram counts each time in its bucket and in all larger ones")
+{
+    Metrics metrics;
+    for (const double time : { 0.5, 1.0, 1.5, 300.0, 10'000.0 })
+        metrics.observe("balsammill_test_ms", "kind=\"a\"", time);
+    metrics.observe("balsammill_plain_ms", {}, 7);
+    const auto text = metrics.exposition();
+    for (const auto* line :
+        { "balsammill_test_ms_bucket{kind=\"a\",le=\"1\"} 2\n", "balsammill_test_ms_bucket{kind=\"a\",le=\"2\"} 3\n",
+            "balsammill_test_ms_bucket{kind=\"a\",le=\"400\"} 4\n",
+            "balsammill_test_ms_bucket{kind=\"a\",le=\"6400\"} 4\n",
+            "balsammill_test_ms_bucket{kind=\"a\",le=\"+Inf\"} 5\n", "balsammill_test_ms_count{kind=\"a\"} 5\n",
+            "balsammill_plain_ms_bucket{le=\"10\"} 1\n", "balsammill_plain_ms_sum 7\n" })
+        CHECK_MESSAGE(text.find(line) != std::string::npos, line, " is missing in ", text);
+    CHECK_THROWS_AS(metrics.observe("bad name", {}, 1), std::invalid_argument);
+}
