Divide the libraries entry and node by concern, and part the registry of upstreams

Cause: entry and node were flat folders of about thirty files each, in which a request's way could not be found, and ShardOwnership.cpp had grown past 500 lines with the registrations of upstreams in it.

UpstreamRegistry follows the registrations and holds missing ones for the grace of an outage. No behaviour changes.

Checked: all unit tests of both libraries, and the 24 tests of real entries on stand-ins pass.

--- a/cmake/BalsammillLibrary.cmake
+++ b/cmake/BalsammillLibrary.cmake
@@ -11,7 +11,7 @@
 # DEPENDS lists what the public headers need.
 function(balsammill_library name)
     cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS src/*.cpp)
     if(sources)
         add_library(balsammill_${name} STATIC ${sources})
         target_include_directories(balsammill_${name} PUBLIC include PRIVATE src)
--- a/libs/entry/src/EntryServer.cpp
+++ b/libs/entry/src/EntryServer.cpp
@@ -1,7 +1,5 @@
 #include "balsammill/entry/EntryServer.h"
 
-#include "ControlLoop.h"
-#include "StateReport.h"
 #include "balsammill/entry/ConfigService.h"
 #include "balsammill/entry/Dispatcher.h"
 #include "balsammill/entry/JobService.h"
@@ -15,6 +13,8 @@
 #include "balsammill/platform/PlatformClient.h"
 #include "balsammill/rpc/ConnectServer.h"
 #include "balsammill/v1/operator.pb.h"
+#include "control/ControlLoop.h"
+#include "control/StateReport.h"
 
 #include <Poco/Random.h>
 #include <Poco/Timestamp.h>
--- a/libs/entry/src/DispatcherCore.cpp
+++ b/libs/entry/src/dispatch/DispatcherCore.cpp
@@ -1,7 +1,7 @@
 #include "DispatcherCore.h"
 
-#include "AttemptResult.h"
 #include "balsammill/base/Log.h"
+#include "calls/AttemptResult.h"
 
 #include <algorithm>
 
--- a/libs/entry/src/TaskForwarding.cpp
+++ b/libs/entry/src/forwarding/TaskForwarding.cpp
@@ -3,9 +3,9 @@
 #include "ForwardReceiverTable.h"
 #include "ForwardSenderTable.h"
 #include "ForwardTargetChoice.h"
-#include "JobRequest.h"
 #include "balsammill/rpc/VerdictMessage.h"
 #include "balsammill/schema/Schema.h"
+#include "jobs/JobRequest.h"
 
 #include <mutex>
 
--- a/libs/entry/tests/ExecutorPoolTests.cpp
+++ b/libs/entry/tests/ExecutorPoolTests.cpp
@@ -1,4 +1,4 @@
-#include "ExecutorPool.h"
+#include "dispatch/ExecutorPool.h"
 
 #include <doctest/doctest.h>
 
--- a/libs/entry/tests/ForwardTableTests.cpp
+++ b/libs/entry/tests/ForwardTableTests.cpp
@@ -1,6 +1,6 @@
-#include "ForwardReceiverTable.h"
-#include "ForwardSenderTable.h"
-#include "ForwardTargetChoice.h"
+#include "forwarding/ForwardReceiverTable.h"
+#include "forwarding/ForwardSenderTable.h"
+#include "forwarding/ForwardTargetChoice.h"
 
 #include <doctest/doctest.h>
 
--- a/libs/node/src/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "NodeContext.h"
-#include "PeerNetwork.h"
-#include "ShardDirectory.h"
-#include "ShardOwnership.h"
+#include "ownership/ShardDirectory.h"
+#include "ownership/ShardOwnership.h"
+#include "peers/PeerNetwork.h"
 
 #include <functional>
 #include <unordered_map>
--- a/libs/node/src/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -2,8 +2,8 @@
 
 #include "JournalCodec.h"
 #include "NodeContext.h"
-#include "OwnerAnswer.h"
 #include "ShardJournal.h"
+#include "clients/OwnerAnswer.h"
 
 #include "balsammill/shards/JobBook.h"
 #include "balsammill/shards/ShardEngine.h"
--- a/libs/node/src/JournalCodec.cpp
+++ b/libs/node/src/durable/JournalCodec.cpp
@@ -1,6 +1,6 @@
 #include "JournalCodec.h"
 
-#include "JobMessageCodec.h"
+#include "clients/JobMessageCodec.h"
 
 namespace Balsammill {
 
--- a/libs/node/src/HandOver.cpp
+++ b/libs/node/src/ownership/HandOver.cpp
@@ -1,6 +1,6 @@
 #include "HandOver.h"
 
-#include "JobMessageCodec.h"
+#include "clients/JobMessageCodec.h"
 
 namespace Balsammill {
 
--- a/libs/node/src/HandOver.h
+++ b/libs/node/src/ownership/HandOver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "PeerLink.h"
+#include "peers/PeerLink.h"
 
 #include "balsammill/shards/Admission.h"
 #include "balsammill/shards/JobTransfer.h"
--- a/libs/node/src/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -21,12 +21,6 @@
 constexpr Duration layoutDelay = std::chrono::milliseconds(2500);
 // An owner with a quarter of a core serves about this many upstreams.
 constexpr std::size_t upstreamsPerShard = 24;
-// Registrations that lapsed in an outage are back within two seconds of its end, if the upstream lives.
-constexpr Duration registrationGrace = std::chrono::milliseconds(2500);
-// An outage this recent may be the reason why a registration vanished: three heartbeats and the grace.
-constexpr Duration recentOutage = std::chrono::seconds(5);
-// Changes of registrations are read in bundles; a leaving upstream gets no more work after this time and a read.
-constexpr Duration registrationPause = std::chrono::milliseconds(250);
 // An entry that was asked to take a shard over writes its claim within this time.
 constexpr Duration handOverPatience = std::chrono::milliseconds(400);
 // How long a new owner waits for word from the entry that handed the shard over, and that one for a connection.
@@ -41,33 +35,23 @@
     , peers_(peers)
     , directory_(directory)
     , records_(records)
+    , registry_(context, store,
+          { .changed = [this](const Shards::UpstreamInfo& info) { offerUpstream(info); },
+              .removed = [this](const Shards::UpstreamId& id) { removeUpstream(id); } })
     , handlers_(std::move(handlers))
     , startedAt_(monotonicNow())
     , alive_(std::make_shared<bool>(true))
 {
 }
 
+ShardOwnership::~ShardOwnership() { *alive_ = false; }
+
 void ShardOwnership::followUpstreams()
 {
     // Registrations change with every heartbeat, so only owners read them, and entries that have to divide them.
-    const bool needed = !ownsNothing() || (records_.loaded() && !directory_.shardsPerDomain());
-    if (!needed) {
-        upstreamRows_.reset();
-        upstreams_.clear();
-        vanished_.clear();
-        return;
-    }
-    if (upstreamRows_)
-        return;
-    upstreamRows_ = std::make_unique<TableFollower>(context_.loop, store_, Platform::upstreamTable, registrationPause,
-        TableFollower::Handlers { .changed = [this](const Platform::Row& row) { handleUpstreamRow(row); },
-            .removed = [this](const std::string& key) { handleUpstreamRemoved(key); },
-            .answering = [](bool, const std::string&) {} });
-    upstreamRows_->start();
+    registry_.follow(!ownsNothing() || (records_.loaded() && !directory_.shardsPerDomain()));
 }
 
-ShardOwnership::~ShardOwnership() { *alive_ = false; }
-
 ShardServer* ShardOwnership::serverOf(const Shards::ShardName& name)
 {
     const auto found = servers_.find(name);
@@ -81,11 +65,11 @@
 
 void ShardOwnership::decideLayout(TimePoint now)
 {
-    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !upstreamRows_
-        || !upstreamRows_->loaded() || now - startedAt_ < layoutDelay || upstreams_.empty())
+    if (directory_.shardsPerDomain() || layoutWriting_ || !records_.loaded() || !registry_.loaded()
+        || now - startedAt_ < layoutDelay || registry_.upstreams().empty())
         return;
     std::map<FailureDomain, std::size_t> perDomain;
-    for (const auto& [id, info] : upstreams_)
+    for (const auto& [id, info] : registry_.upstreams())
         ++perDomain[info.domain];
     std::size_t most = 0;
     for (const auto& [domain, count] : perDomain)
@@ -109,17 +93,7 @@
 {
     followUpstreams();
     decideLayout(now);
-    for (auto it = vanished_.begin(); it != vanished_.end();) {
-        if (now < it->second) {
-            ++it;
-            continue;
-        }
-        const auto id = it->first;
-        it = vanished_.erase(it);
-        upstreams_.erase(id);
-        for (auto& [name, server] : servers_)
-            server->removeUpstream(id);
-    }
+    registry_.advance(now);
     if (const auto shards = directory_.shardsPerDomain()) {
         for (unsigned i = 0; i < *shards; ++i)
             considerClaim(ShardDirectory::shardName(context_.settings.domain, i), now);
@@ -416,7 +390,7 @@
     servers_[name]->setShardCount(
         std::max<std::size_t>(context_.settings.allDomains.size() * directory_.shardsPerDomain().value_or(1), 1));
     followUpstreams();
-    for (const auto& [id, info] : upstreams_)
+    for (const auto& [id, info] : registry_.upstreams())
         offerUpstream(info);
     auto* server = servers_.at(name).get();
     if (const auto early = early_.find(name); early != early_.end()) {
@@ -506,28 +480,10 @@
         server->updateUpstream(info);
 }
 
-void ShardOwnership::handleUpstreamRow(const Platform::Row& row)
+void ShardOwnership::removeUpstream(const Shards::UpstreamId& id)
 {
-    const Shards::UpstreamId id(row.key);
-    try {
-        const auto info = Platform::parseUpstream(row.key, row.value);
-        vanished_.erase(id);
-        upstreams_[id] = info;
-        offerUpstream(info);
-    } catch (const Platform::FormatError& error) {
-        context_.log.event("upstream.bad_registration", { { "upstream", row.key }, { "reason", error.what() } });
-        handleUpstreamRemoved(row.key);
-    }
-}
-
-void ShardOwnership::handleUpstreamRemoved(const std::string& key)
-{
-    const Shards::UpstreamId id(key);
-    if (!upstreams_.contains(id))
-        return;
-    const auto now = monotonicNow();
-    const bool outage = upstreamRows_ && now - upstreamRows_->failedAt() < recentOutage;
-    vanished_[id] = outage ? now + registrationGrace : now;
+    for (auto& [name, server] : servers_)
+        server->removeUpstream(id);
 }
 
 } // namespace Balsammill
--- a/libs/node/src/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "NodeContext.h"
-#include "PeerNetwork.h"
 #include "ShardDirectory.h"
-#include "ShardServer.h"
 #include "TableFollower.h"
+#include "UpstreamRegistry.h"
+#include "peers/PeerNetwork.h"
+#include "serving/ShardServer.h"
 
 #include <map>
 #include <memory>
@@ -73,20 +74,16 @@
     void lose(const Shards::ShardName&, std::string_view reason);
     void adoptRows(const Platform::RowsResult&);
     bool isMine(const ShardOwner&) const;
-    void handleUpstreamRow(const Platform::Row&);
-    void handleUpstreamRemoved(const std::string& key);
     Shards::ShardName shardOf(const Shards::UpstreamInfo&) const;
     void offerUpstream(const Shards::UpstreamInfo&);
+    void removeUpstream(const Shards::UpstreamId&);
 
     NodeContext& context_;
     Platform::Store& store_;
     PeerNetwork& peers_;
     ShardDirectory& directory_;
     const TableFollower& records_;
-    std::unique_ptr<TableFollower> upstreamRows_;
-    std::map<Shards::UpstreamId, Shards::UpstreamInfo> upstreams_;
-    // Registrations that vanished while the store was disturbed, with the time at which they count as gone.
-    std::map<Shards::UpstreamId, TimePoint> vanished_;
+    UpstreamRegistry registry_;
     std::map<Shards::ShardName, std::unique_ptr<ShardServer>> servers_;
     // Shards that were handed over and whose next owner cannot be reached yet.
     struct Outgoing {
--- a/libs/node/src/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "DurableJobs.h"
-#include "HandOver.h"
 #include "NodeContext.h"
-#include "OwnerAnswer.h"
 #include "UpstreamSession.h"
+#include "clients/OwnerAnswer.h"
+#include "durable/DurableJobs.h"
+#include "ownership/HandOver.h"
 
 #include "balsammill/shards/Admission.h"
 #include "balsammill/shards/ShardEngine.h"
--- a/libs/node/tests/JournalCodecTests.cpp
+++ b/libs/node/tests/JournalCodecTests.cpp
@@ -1,4 +1,4 @@
-#include "JournalCodec.h"
+#include "durable/JournalCodec.h"
 
 #include <doctest/doctest.h>
 
--- a/libs/node/tests/ShardDirectoryTests.cpp
+++ b/libs/node/tests/ShardDirectoryTests.cpp
@@ -1,4 +1,4 @@
-#include "ShardDirectory.h"
+#include "ownership/ShardDirectory.h"
 
 #include <doctest/doctest.h>
 
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -1,5 +1,5 @@
 #include "OperatorStore.h"
-#include "ShardJournal.h"
+#include "durable/ShardJournal.h"
 
 #include <doctest/doctest.h>
 
