Place steps of advised queues only on upstreams that the advice service allows

Cause: a queue whose configuration names an advice policy was refused with 503, so a deployment that uses one would have served none of its jobs.

Change: the engine asks about up to 30 upstreams at a time, first those with room, when a waiting task finds no allowed one; starts carry the ticket of their upstream. A ticket that has expired or is refused, and an upstream that started again, are asked for anew; a lost question is repeated after 100 ms. StepPermits holds what is known of one step, PlacementAdvisor the calls, one at a time. The forecast and the objective count one question of 30.

Found by the process test: the question was moved into the callback before it was encoded, so it named no upstream and nothing was allowed.

Checked: 7 engine tests, the adapter's tests, 2 tests of real entries with a stand-in of the service that refuses calls and starts without a ticket. The log says forecast_ms -1 instead of 9e15 where no upstream is known.

--- a/libs/node/src/clients/JobFront.cpp
+++ b/libs/node/src/clients/JobFront.cpp
@@ -121,6 +121,8 @@
         exchange->respond(Platform::badRequest(error.what()));
         return;
     }
+    if (submission.spec.advice && context_.settings.adviceAddress.empty())
+        submission.unsupported = "advised placement without an advice service in its settings";
     if (!submission.unsupported.empty()) {
         context_.metrics.add("balsammill_unsupported_total");
         context_.log.event("job.unsupported", { { "id", id }, { "feature", submission.unsupported } });
--- a/libs/node/src/clients/JobMessageCodec.cpp
+++ b/libs/node/src/clients/JobMessageCodec.cpp
@@ -29,6 +29,12 @@
         schedule->set_first_run_unix_ms(spec.schedule->firstRunUnixMs);
         schedule->set_interval_us(spec.schedule->interval.count());
     }
+    if (spec.advice) {
+        auto* advice = job.mutable_advice();
+        advice->set_decision_us(spec.advice->decision.count());
+        advice->set_per_upstream_us(spec.advice->perUpstream.count());
+        advice->set_validity_us(spec.advice->validity.count());
+    }
     for (const auto& step : spec.steps) {
         auto* out = job.add_steps();
         out->set_count(step.count);
@@ -64,6 +70,10 @@
         spec.schedule = Shards::RepeatSchedule { .count = job.schedule().count(),
             .firstRunUnixMs = job.schedule().first_run_unix_ms(),
             .interval = Duration(job.schedule().interval_us()) };
+    if (job.has_advice())
+        spec.advice = Shards::AdvicePolicy { .decision = Duration(job.advice().decision_us()),
+            .perUpstream = Duration(job.advice().per_upstream_us()),
+            .validity = Duration(job.advice().validity_us()) };
     for (const auto& in : job.steps()) {
         Shards::StepSpec step;
         step.count = in.count();
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -11,34 +11,10 @@
 // Reading the registrations, the first reports, and stopping what an earlier owner has left.
 constexpr Duration settlingTime = std::chrono::milliseconds(250);
 
-const char* nameOf(Shards::JobResult result)
+// For the log: -1 while no upstream is known that could run the job.
+std::int64_t forecastMs(const Shards::JobForecast& forecast, TimePoint now)
 {
-    switch (result) {
-    case Shards::JobResult::Completed:
-        return "completed";
-    case Shards::JobResult::Failed:
-        return "failed";
-    case Shards::JobResult::Superseded:
-        return "superseded";
-    case Shards::JobResult::NotRun:
-        return "not_run";
-    }
-    return "unknown";
-}
-
-OwnerAnswer::Kind answerKind(Shards::JobResult result)
-{
-    switch (result) {
-    case Shards::JobResult::Completed:
-        return OwnerAnswer::Kind::Completed;
-    case Shards::JobResult::Failed:
-        return OwnerAnswer::Kind::Failed;
-    case Shards::JobResult::NotRun:
-        return OwnerAnswer::Kind::Refused;
-    case Shards::JobResult::Superseded:
-        break;
-    }
-    return OwnerAnswer::Kind::InDoubt;
+    return forecast.endAt == TimePoint::max() ? -1 : static_cast<std::int64_t>(toMs(forecast.endAt - now));
 }
 
 } // namespace
@@ -55,6 +31,7 @@
               .fenced = [this] { handleFenced(); },
               .declare = [this] { handlers_.declareJobs(); },
               .opened = [this] { handleJobsKnown(); } })
+    , advisor_(context)
     , predecessor_(options.predecessor)
     , alive_(std::make_shared<bool>(true))
 {
@@ -239,9 +216,7 @@
         if (sampled)
             context_.log.event("job.redirected",
                 { { "id", spec.id.value }, { "shard", name_.value }, { "to", redirect->shard.value },
-                    { "forecast_ms",
-                        toMs(forecast.endAt - now) < 1e9 ? static_cast<std::int64_t>(toMs(forecast.endAt - now))
-                                                         : std::int64_t { -1 } } });
+                    { "forecast_ms", forecastMs(forecast, now) } });
         callback({ .kind = OwnerAnswer::Kind::Redirected, .retryAfter = {}, .redirect = redirect->shard });
         return;
     }
@@ -264,7 +239,7 @@
     if (sampled)
         context_.log.event("job.accepted",
             { { "id", spec.id.value }, { "shard", name_.value }, { "queue", spec.queue.value },
-                { "forecast_ms", static_cast<std::int64_t>(toMs(forecast.endAt - now)) },
+                { "forecast_ms", forecastMs(forecast, now) },
                 { "objective_ms", static_cast<std::int64_t>(toMs(forecast.objectiveAt - now)) } });
     context_.metrics.add("balsammill_accepted_total", queueLabel);
     const auto number = open(submitter, spec.id, spec.queue, std::move(callback));
@@ -366,92 +341,6 @@
         entry.callback({ .kind = OwnerAnswer::Kind::InDoubt, .retryAfter = {}, .redirect = {} });
 }
 
-void ShardServer::carryOut(const Shards::FinishJob& finished)
-{
-    if (finished.submission == Shards::SubmissionId()) {
-        const auto& id = finished.job.job;
-        if (finished.result != Shards::JobResult::Completed || context_.log.samples(id.value))
-            context_.log.event("job.ended",
-                { { "id", id.value }, { "shard", name_.value },
-                    { "occurrence", std::uint64_t { finished.job.occurrence } }, { "result", nameOf(finished.result) },
-                    { "waited_ms", static_cast<std::int64_t>(toMs(finished.waited)) } });
-        durable_.noteFinished(finished);
-        return;
-    }
-    const auto found = open_.find(finished.submission);
-    if (found == open_.end())
-        return;
-    auto entry = std::move(found->second);
-    open_.erase(found);
-    bySubmitter_.erase(entry.submitter);
-    const auto now = monotonicNow();
-    const auto queueLabel = "queue=\"" + entry.queue + "\"";
-    context_.metrics.add("balsammill_finished_total", queueLabel + ",result=\"" + nameOf(finished.result) + "\"");
-    context_.metrics.observe("balsammill_job_time_ms", queueLabel, toMs(now - entry.acceptedAt));
-    context_.metrics.observe("balsammill_job_wait_ms", queueLabel, toMs(finished.waited));
-    if (finished.result != Shards::JobResult::Completed || context_.log.samples(entry.job.value))
-        context_.log.event("job.ended",
-            { { "id", entry.job.value }, { "shard", name_.value }, { "result", nameOf(finished.result) },
-                { "ms", static_cast<std::int64_t>(toMs(now - entry.acceptedAt)) },
-                { "waited_ms", static_cast<std::int64_t>(toMs(finished.waited)) } });
-    entry.callback({ .kind = answerKind(finished.result), .retryAfter = {}, .redirect = {} });
-}
-
-void ShardServer::carryOut(const Shards::ShardActions& actions)
-{
-    for (const auto& action : actions)
-        std::visit([this](const auto& step) { carryOut(step); }, action);
-}
-
-void ShardServer::carryOut(const Shards::StartTask& start)
-{
-    if (context_.log.samples(start.task.job.value))
-        context_.log.event("task.started",
-            { { "id", start.task.job.value }, { "step", std::uint64_t { start.task.step } },
-                { "index", std::uint64_t { start.task.index } }, { "run", start.run.value },
-                { "upstream", start.upstream.value }, { "fence", epoch_.value } });
-    if (start.job->durable)
-        durable_.noteStarted(start.task.job);
-    if (auto* target = session(start.upstream))
-        target->start(start);
-}
-
-void ShardServer::carryOut(const Shards::ProgressChanged& change) { durable_.noteProgress(change); }
-
-void ShardServer::carryOut(const Shards::TaskAdopted& adopted)
-{
-    context_.metrics.add("balsammill_tasks_adopted_total");
-    context_.log.event("task.adopted",
-        { { "id", adopted.task.job.value }, { "index", std::uint64_t { adopted.task.index } },
-            { "run", adopted.run.value }, { "upstream", adopted.upstream.value } });
-    durable_.noteStarted(adopted.task.job);
-}
-
-void ShardServer::carryOut(const Shards::StopTask& stop)
-{
-    context_.log.event("task.stopped",
-        { { "id", stop.task.job.value }, { "index", std::uint64_t { stop.task.index } }, { "run", stop.run.value },
-            { "upstream", stop.upstream.value } });
-    if (auto* target = session(stop.upstream))
-        target->stop(stop);
-}
-
-void ShardServer::carryOut(const Shards::TaskFailed& failed)
-{
-    context_.metrics.add("balsammill_task_failures_total");
-    context_.log.event("task.failed",
-        { { "id", failed.task.job.value }, { "index", std::uint64_t { failed.task.index } },
-            { "run", failed.run.value }, { "upstream", failed.upstream.value },
-            { "failures", std::uint64_t { failed.failures } }, { "allowed", std::uint64_t { failed.maxAttempts } } });
-}
-
-void ShardServer::carryOut(const Shards::UpstreamSuspected& suspected)
-{
-    context_.metrics.add("balsammill_upstreams_suspected_total");
-    context_.log.event("upstream.suspected",
-        { { "upstream", suspected.upstream.value }, { "pause_ms", static_cast<std::int64_t>(toMs(suspected.pause)) } });
-}
-
 void ShardServer::progress()
 {
     if (abandoned_)
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "NodeContext.h"
+#include "PlacementAdvisor.h"
 #include "UpstreamSession.h"
 #include "clients/OwnerAnswer.h"
 #include "durable/DurableJobs.h"
@@ -103,6 +104,7 @@
     void carryOut(const Shards::UpstreamSuspected&);
     void carryOut(const Shards::ProgressChanged&);
     void carryOut(const Shards::TaskAdopted&);
+    void carryOut(const Shards::AskPermits&);
     Shards::AdmissionDecision admit(const Shards::JobSpec&, const Shards::JobForecast&, bool mayRedirect) const;
     void submitDurable(Shards::JobSpec, OwnerAnswerCallback);
     void openAllSessions();
@@ -122,6 +124,7 @@
     Handlers handlers_;
     Shards::ShardEngine engine_;
     DurableJobs durable_;
+    PlacementAdvisor advisor_;
     std::map<Shards::UpstreamId, std::shared_ptr<UpstreamSession>> sessions_;
     std::map<Shards::UpstreamId, Shards::UpstreamInfo> upstreams_;
     std::unordered_map<Shards::SubmissionId, Open> open_;
--- a/libs/routing/include/balsammill/routing/NodeSettings.h
+++ b/libs/routing/include/balsammill/routing/NodeSettings.h
@@ -24,6 +24,8 @@
     /// Where metrics are served; empty if nowhere.
     NetworkAddress metricsListen;
     NetworkAddress storeAddress;
+    /// Where the service is asked that decides which upstreams may run a step; empty if there is none.
+    NetworkAddress adviceAddress {};
     /// Writes a second that the store takes from all entries together.
     double storeWritesPerSecond { 800 };
     /// Share of a core that this process may use; stronger VMs are preferred as owners.
--- a/libs/routing/include/balsammill/routing/RoutingConfig.h
+++ b/libs/routing/include/balsammill/routing/RoutingConfig.h
@@ -27,8 +27,8 @@
     /// Part of the response time objective that does not depend on the work.
     Duration targetOverhead {};
     Duration timeout {};
-    /// A service outside of balsammill decides which upstreams may run a task.
-    bool placementAdvised { false };
+    /// Empty if any upstream of the service may run the queue's tasks.
+    std::optional<Shards::AdvicePolicy> advice {};
 };
 
 /// Limits on what clients send.
--- a/libs/shards/include/balsammill/shards/JobSpec.h
+++ b/libs/shards/include/balsammill/shards/JobSpec.h
@@ -54,6 +54,20 @@
     bool checkpoints { false };
 };
 
+/// A service outside of balsammill decides which upstreams may run a step, and issues a ticket for each of them.
+struct AdvicePolicy {
+    /// How long the service takes to answer, and how much longer for each upstream that it is asked about.
+    Duration decision {};
+    Duration perUpstream {};
+    /// How long a ticket can be used.
+    Duration validity {};
+
+    Duration answerTime(std::size_t upstreams) const
+    {
+        return decision + perUpstream * static_cast<Duration::rep>(upstreams);
+    }
+};
+
 /// When the passes of a repeated job are due.
 struct RepeatSchedule {
     std::uint32_t count { 1 };
@@ -82,6 +96,8 @@
     bool durable { false };
     /// The tasks run until the job is cancelled, and start again however they end.
     bool longRunning { false };
+    /// Empty if any upstream of the service may run the steps.
+    std::optional<AdvicePolicy> advice {};
     /// Empty if the steps run once, as soon as there is room.
     std::optional<RepeatSchedule> schedule {};
 };
--- a/libs/shards/include/balsammill/shards/ShardActions.h
+++ b/libs/shards/include/balsammill/shards/ShardActions.h
@@ -18,6 +18,16 @@
     RunNumber run;
     std::shared_ptr<const JobSpec> job;
     std::string checkpoint;
+    /// Empty unless placement on the job's queue is advised.
+    std::string ticket {};
+};
+
+/// Ask the advice service which of the upstreams may run a step; answered with handlePermits().
+struct AskPermits {
+    OccurrenceKey job;
+    std::uint32_t step { 0 };
+    AdvicePolicy policy {};
+    std::vector<UpstreamId> upstreams;
 };
 
 /// Send a stop to an upstream.
@@ -75,8 +85,8 @@
     RunNumber run;
 };
 
-using ShardAction
-    = std::variant<StartTask, StopTask, FinishJob, TaskFailed, UpstreamSuspected, ProgressChanged, TaskAdopted>;
+using ShardAction = std::variant<StartTask, StopTask, FinishJob, TaskFailed, UpstreamSuspected, ProgressChanged,
+    TaskAdopted, AskPermits>;
 using ShardActions = std::vector<ShardAction>;
 
 } // namespace Balsammill::Shards
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -2,6 +2,7 @@
 
 #include "balsammill/shards/JobTransfer.h"
 #include "balsammill/shards/ShardActions.h"
+#include "balsammill/shards/StepPermits.h"
 #include "balsammill/shards/UpstreamInfo.h"
 
 #include <cstdint>
@@ -77,6 +78,13 @@
     /// The run does not exist on the upstream and can no longer begin there.
     void handleNeverStarted(const UpstreamId&, const TaskKey&, RunNumber, TimePoint now);
 
+    // Advised placement: a step whose queue asks for it is placed only on upstreams for which it has a ticket.
+
+    /// The answer to a question that was sent at sentAt.
+    void handlePermits(const AskPermits&, const Tickets&, TimePoint sentAt);
+    /// The question got no usable answer.
+    void handleNoPermits(const AskPermits&, TimePoint now);
+
     // Jobs.
 
     JobForecast forecast(const JobSpec&, TimePoint arrivedAt, TimePoint now) const;
@@ -182,6 +190,7 @@
     Duration chain(const JobSpec&) const;
     bool usable(const Upstream&, TimePoint now) const;
     bool canHold(const Upstream&, const JobSpec&, const StepSpec&) const;
+    void askPermits(Job&, std::uint32_t step, TimePoint now);
     Upstream* choose(const Job&, std::uint32_t step, const Task&, const UpstreamId& reserved, TimePoint now);
     bool placeStep(Job&, std::uint32_t step, Blocked&, TimePoint now);
     bool placeGang(Job&, std::uint32_t step, Blocked&, TimePoint now);
--- a/libs/shards/include/balsammill/shards/UpstreamInfo.h
+++ b/libs/shards/include/balsammill/shards/UpstreamInfo.h
@@ -70,6 +70,8 @@
     /// The start arrived after its deadline.
     Late,
     NoRoom,
+    /// The ticket that allows the step to run there is missing or no longer valid.
+    NoTicket,
     /// The upstream is unhealthy or did not understand the request; it has done nothing.
     Unhealthy,
 };
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -167,6 +167,10 @@
         if (auto* job = findJob(key.occurrenceKey()))
             job->runFloor.value = std::max(job->runFloor.value, number.value + runNumberJump);
     }
+    if (refusal == StartRefusal::NoTicket) {
+        if (auto* job = findJob(key.occurrenceKey()); job != nullptr && key.step < job->steps.size())
+            job->steps[key.step].permits.dropTicket(id);
+    }
     handleNeverStarted(id, key, number, now);
 }
 
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -98,8 +98,16 @@
     // Sum over completed tasks of their run time, corrected by the rating of their upstreams.
     Duration observed {};
     std::uint32_t observations { 0 };
+    // Used only if the placement of the job is advised.
+    StepPermits permits;
 };
 
+// How long the advice on a step may take that has not been asked for; the response time objective allows for it.
+inline Duration adviceTime(const JobSpec& spec)
+{
+    return spec.advice ? spec.advice->answerTime(StepPermits::maxUpstreamsAsked) : Duration::zero();
+}
+
 struct ShardEngine::Job {
     OccurrenceKey key;
     SubmissionId submission;
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -72,6 +72,8 @@
         if (!usable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
             || !step.need.fitsIn(upstream.room))
             continue;
+        if (job.spec->advice && job.steps[stepIndex].permits.ticketFor(upstream.info, now) == nullptr)
+            continue;
         if (upstream.onProbation && !upstream.runs.empty())
             continue;
         if (step.maxPerUpstream > 0) {
@@ -125,8 +127,13 @@
             .orderedAt = now,
             .expectedEnd = now + there });
     ++liveRuns_[key];
-    actions_.emplace_back(StartTask {
-        .upstream = upstream.info.id, .task = key, .run = number, .job = job.spec, .checkpoint = task.checkpoint });
+    const auto* ticket = job.spec->advice ? step.permits.ticketFor(upstream.info, now) : nullptr;
+    actions_.emplace_back(StartTask { .upstream = upstream.info.id,
+        .task = key,
+        .run = number,
+        .job = job.spec,
+        .checkpoint = task.checkpoint,
+        .ticket = ticket == nullptr ? std::string() : *ticket });
 }
 
 bool ShardEngine::stepIsReady(const Job& job, std::uint32_t step) const
@@ -197,7 +204,7 @@
         Duration begin {};
         for (const auto earlier : spec.steps[i].after)
             begin = std::max(begin, endOf[earlier]);
-        endOf[i] = begin + model_.predict(spec, spec.steps[i]);
+        endOf[i] = begin + adviceTime(spec) + model_.predict(spec, spec.steps[i]);
         longest = std::max(longest, endOf[i]);
     }
     return longest;
@@ -212,7 +219,8 @@
         for (const auto earlier : job.spec->steps[i].after)
             begin = std::max(begin, endOf[earlier]);
         const bool open = job.steps[i].done < job.steps[i].tasks.size();
-        endOf[i] = begin + (open ? job.expectedRunTime(model_, i) : Duration::zero());
+        const auto advice = job.steps[i].permits.empty() ? adviceTime(*job.spec) : Duration::zero();
+        endOf[i] = begin + (open ? advice + job.expectedRunTime(model_, i) : Duration::zero());
         longest = std::max(longest, endOf[i]);
     }
     return longest;
@@ -255,6 +263,11 @@
                 continue;
             if (placeStep(*job, i, blocked, now))
                 continue;
+            // Room that the step is not allowed to use says nothing about other steps.
+            if (job->spec->advice) {
+                askPermits(*job, i, now);
+                continue;
+            }
             if (step.requiredLabel.empty() && step.maxPerUpstream == 0 && !step.gang)
                 blocked.needs.emplace_back(job->spec->service, step.need);
             if (!blocked.reserved.empty())
@@ -325,6 +338,8 @@
                 continue;
             const auto runTime = place.job == nullptr ? model_.predict(*place.spec, place.spec->steps[i])
                                                       : place.job->expectedRunTime(model_, i);
+            if (place.job == nullptr || place.job->steps[i].permits.empty())
+                begin += adviceTime(*place.spec);
             endOf[i] = places.add({ .tasks = tasks, .runTime = runTime }, begin);
             end = std::max(end, endOf[i]);
         }
--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -1,5 +1,7 @@
 #include "OperatorUpstream.h"
 
+#include "AdviceService.h"
+
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -125,6 +127,9 @@
         return "old";
     if (deadline < clockMs())
         return "late";
+    const std::string ticket = body.HasMember("ticket") ? body["ticket"].GetString() : "";
+    if (options_.needsTickets && !AdviceService::accepts(ticket, task, options_.id))
+        return "ticket";
     extendLease(deadline);
     // The payload of the tests is the number of thousandths of a core that the task uses.
     const int milliCores = std::stoi(body["task_spec"].GetString());
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -35,6 +35,8 @@
         std::string domain;
         int milliCores { 32'000 };
         int runMs { 50 };
+        /// A start has to carry a ticket of the advice service.
+        bool needsTickets { false };
     };
 
     OperatorUpstream(LoopThread&, RunRegistry&, const Options&);
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -51,6 +51,7 @@
 
 Fleet::Fleet(const Options& options)
     : options_(options)
+    , advice_(loop_, options.advisedUpstreams)
 {
     store_ = std::make_unique<Standin::OperatorStore>(loop_);
     configure(1);
@@ -61,7 +62,8 @@
                 Standin::OperatorUpstream::Options { .id = "i-" + domain + std::to_string(i),
                     .domain = domain,
                     .milliCores = 32'000,
-                    .runMs = options.runMs }));
+                    .runMs = options.runMs,
+                    .needsTickets = !options.advisedUpstreams.empty() }));
             store_->put("servers", upstreams_.back()->id(), upstreams_.back()->registration());
         }
         for (int i = 0; i < options.entriesPerDomain; ++i) {
@@ -71,6 +73,8 @@
                 = std::string(INTEGRATION_LOG_DIR) + "/" + options.name + "-" + domain + std::to_string(i) + ".toml";
             std::filesystem::create_directories(INTEGRATION_LOG_DIR);
             std::ofstream text(file);
+            if (!options.advisedUpstreams.empty())
+                text << "advice = \"" << advice_.address() << "\"\n";
             text << "node_name = \"" << domain << i << "\"\nzone = \"" << domain << "\"\nip = \"127.0.0.1\"\n"
                  << "internal_port_range = [" << ports.firstPeer << ", " << ports.firstPeer + 1 << "]\n"
                  << "[listen]\nfront = \"127.0.0.1:" << ports.client.number()
@@ -109,10 +113,12 @@
 
 void Fleet::configure(int version, const std::string& prefix)
 {
+    const std::string advice
+        = options_.advisedUpstreams.empty() ? "" : R"("advice":{"decision_ms":5,"period_ms":1,"validity_ms":2000},)";
     store_->put("op", "config",
         R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"checks","host":")" + host
-            + R"(","path_prefix":")" + prefix
-            + R"(","timeout_ms":5000,"target_duration_ms":2000,"priority":0,"service":"tanim","max_attempts":3,"stretch":4.0}],"services":[],"limits":{}})");
+            + R"(","path_prefix":")" + prefix + R"(",)" + advice
+            + R"("timeout_ms":5000,"target_duration_ms":2000,"priority":0,"service":"tanim","max_attempts":3,"stretch":4.0}],"services":[],"limits":{}})");
 }
 
 ClientAnswer Fleet::request(
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "AdviceService.h"
 #include "OperatorStore.h"
 #include "OperatorUpstream.h"
 #include "support/Process.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,8 @@
         int entriesPerDomain { 2 };
         int upstreamsPerDomain { 3 };
         int runMs { 50 };
+        /// If not empty, an advice service allows only these upstreams, and they refuse starts without its tickets.
+        std::set<std::string> advisedUpstreams {};
     };
 
     explicit Fleet(const Options&);
@@ -58,6 +62,7 @@
     /// Index of the entry that owns the only shard of the domain; the number of entries if none is named.
     std::size_t ownerOf(const std::string& domain);
     Standin::OperatorStore& store() { return *store_; }
+    Standin::AdviceService& advice() { return advice_; }
     Standin::OperatorUpstream& upstream(std::size_t index) { return *upstreams_[index]; }
     std::size_t upstreamCount() const { return upstreams_.size(); }
     /// Broken promises that the upstreams have seen, a line each.
@@ -81,6 +86,7 @@
     Standin::LoopThread loop_;
     Standin::RunRegistry registry_;
     std::unique_ptr<Standin::OperatorStore> store_;
+    Standin::AdviceService advice_;
     std::vector<std::unique_ptr<Standin::OperatorUpstream>> upstreams_;
     std::vector<Ports> ports_;
     std::vector<std::string> settings_;
