Place tasks that belong in one rack in the rack that holds all of them

Cause: a step could say that its tasks are slower in several racks, and placement did not weigh it, so that such jobs took up to twice as long.

Tasks that do not fit in one rack run in several.

--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -191,7 +191,9 @@
     bool usable(const Upstream&, TimePoint now) const;
     bool canHold(const Upstream&, const JobSpec&, const StepSpec&) const;
     void askPermits(Job&, std::uint32_t step, TimePoint now);
-    Upstream* choose(const Job&, std::uint32_t step, const Task&, const UpstreamId& reserved, TimePoint now);
+    Upstream* choose(const Job&, std::uint32_t step, const Task&, const std::string& rack, const UpstreamId& reserved,
+        TimePoint now);
+    std::string rackFor(const Job&, std::uint32_t step, TimePoint now) const;
     bool placeStep(Job&, std::uint32_t step, Blocked&, TimePoint now);
     bool placeGang(Job&, std::uint32_t step, Blocked&, TimePoint now);
     std::vector<TimePoint> placesFreeAt(const JobSpec&, const StepSpec&, TimePoint now) const;
--- a/libs/shards/include/balsammill/shards/UpstreamInfo.h
+++ b/libs/shards/include/balsammill/shards/UpstreamInfo.h
@@ -17,6 +17,8 @@
     Resources capacity;
     /// Kind and rack of the VM.
     std::vector<std::string> labels;
+    /// The label that names the rack; empty if the upstream does not tell.
+    std::string rack {};
     /// It finishes its work and takes no more.
     bool draining { false };
     /// Unix milliseconds of its start; changes when it restarts under the same id.
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -13,7 +13,8 @@
 // Weight of the room that a task would leave unused on an upstream, against the upstream's slowness: filling an
 // upstream is worth less than one that is half as fast again.
 constexpr double leftoverWeight = 0.5;
-// Added to an upstream's cost when the task's data is in another rack, where it takes up to twice as long.
+// Added to an upstream's cost when the task's data, or the tasks that it works with, are in another rack, where it
+// takes up to twice as long.
 constexpr double otherRackCost = 1.0;
 // Added when the last run of the task failed there; more than any other cost, so it is the last resort.
 constexpr double failedBeforeCost = 10.0;
@@ -62,8 +63,33 @@
         && (step.requiredLabel.empty() || upstream.info.hasLabel(step.requiredLabel));
 }
 
-ShardEngine::Upstream* ShardEngine::choose(
-    const Job& job, std::uint32_t stepIndex, const Task& task, const UpstreamId& reserved, TimePoint now)
+// The rack in which the tasks of a step should run; empty if any will do.
+std::string ShardEngine::rackFor(const Job& job, std::uint32_t stepIndex, TimePoint now) const
+{
+    const auto& spec = job.spec->steps[stepIndex];
+    if (!spec.sameRack)
+        return spec.preferredRack;
+    for (const auto& task : job.steps[stepIndex].tasks) {
+        const auto upstream = upstreams_.find(task.upstream);
+        if (task.state == Task::State::Active && upstream != upstreams_.end())
+            return upstream->second.info.rack;
+    }
+    // None runs yet: the data's rack if it has room for all, else the rack with the most room.
+    std::map<std::string, std::int64_t> places;
+    for (const auto& [id, upstream] : upstreams_) {
+        if (usable(upstream, now) && canHold(upstream, *job.spec, spec))
+            places[upstream.info.rack] += placesOf(upstream.room, spec.need);
+    }
+    const auto data = places.find(spec.preferredRack);
+    if (places.empty() || (data != places.end() && data->second >= job.steps[stepIndex].waiting))
+        return spec.preferredRack;
+    return std::max_element(places.begin(), places.end(), [](const auto& a, const auto& b) {
+        return a.second < b.second;
+    })->first;
+}
+
+ShardEngine::Upstream* ShardEngine::choose(const Job& job, std::uint32_t stepIndex, const Task& task,
+    const std::string& rack, const UpstreamId& reserved, TimePoint now)
 {
     const auto& step = job.spec->steps[stepIndex];
     Upstream* best = nullptr;
@@ -85,7 +111,7 @@
         const auto left = static_cast<double>(upstream.room.milliCores - step.need.milliCores);
         double cost = model_.slowness(id)
             + leftoverWeight * left / static_cast<double>(std::max<std::int64_t>(upstream.info.capacity.milliCores, 1));
-        if (!step.preferredRack.empty() && !upstream.info.hasLabel(step.preferredRack))
+        if (!rack.empty() && !upstream.info.hasLabel(rack))
             cost += otherRackCost;
         if (task.avoid == id)
             cost += failedBeforeCost;
@@ -151,6 +177,7 @@
     if (spec.gang)
         return placeGang(job, stepIndex, blocked, now);
     auto& step = job.steps[stepIndex];
+    const auto rack = rackFor(job, stepIndex, now);
     for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index) {
         auto& task = step.tasks[index];
         if (task.state != Task::State::Waiting || now < task.notBefore || task.isExpected(now))
@@ -158,7 +185,7 @@
         // Another run of the task may still be ending elsewhere.
         if (liveRuns_.contains(job.taskKey(stepIndex, index)))
             continue;
-        auto* upstream = choose(job, stepIndex, task, blocked.reserved, now);
+        auto* upstream = choose(job, stepIndex, task, rack, blocked.reserved, now);
         if (upstream == nullptr)
             return false;
         const RunNumber number { std::max(task.run.value, job.runFloor.value) + 1 };
@@ -178,9 +205,10 @@
         if (liveRuns_.contains(job.taskKey(stepIndex, index)) || step.tasks[index].isExpected(now))
             return true;
     }
+    const auto rack = rackFor(job, stepIndex, now);
     std::vector<Upstream*> members;
     for (const auto& task : step.tasks) {
-        auto* upstream = choose(job, stepIndex, task, blocked.reserved, now);
+        auto* upstream = choose(job, stepIndex, task, rack, blocked.reserved, now);
         if (upstream == nullptr)
             break;
         upstream->room -= spec.need;
