--- a/libs/node/src/serving/ShardServerActions.cpp
+++ b/libs/node/src/serving/ShardServerActions.cpp
@@ -130,7 +130,7 @@
         if (abandoned_)
             return;
         if (tickets)
-            engine_.handlePermits(question, *tickets, sentAt);
+            engine_.handlePermits(question, *tickets, sentAt, monotonicNow());
         else
             engine_.handleNoPermits(question, monotonicNow());
         progress();
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -81,7 +81,7 @@
     // Advised placement: a step whose queue asks for it is placed only on upstreams for which it has a ticket.
 
     /// The answer to a question that was sent at sentAt.
-    void handlePermits(const AskPermits&, const Tickets&, TimePoint sentAt);
+    void handlePermits(const AskPermits&, const Tickets&, TimePoint sentAt, TimePoint now);
     /// The question got no usable answer.
     void handleNoPermits(const AskPermits&, TimePoint now);
 
--- a/libs/shards/include/balsammill/shards/StepPermits.h
+++ b/libs/shards/include/balsammill/shards/StepPermits.h
@@ -31,7 +31,8 @@
 
     void noteAsked(const std::vector<const UpstreamInfo*>&);
     /// The question about these upstreams was answered. Tickets count from the time at which it was sent.
-    void handleAnswer(const std::vector<UpstreamId>& asked, const Tickets&, TimePoint sentAt, Duration validity);
+    void handleAnswer(
+        const std::vector<UpstreamId>& asked, const Tickets&, TimePoint sentAt, Duration validity, TimePoint now);
     /// The question got no usable answer; it is asked again after a while.
     void handleNoAnswer(const std::vector<UpstreamId>& asked, TimePoint now);
     /// The upstream has refused the ticket.
--- a/libs/shards/src/ShardEngineAdvice.cpp
+++ b/libs/shards/src/ShardEngineAdvice.cpp
@@ -52,11 +52,12 @@
     actions_.emplace_back(std::move(question));
 }
 
-void ShardEngine::handlePermits(const AskPermits& question, const Tickets& tickets, TimePoint sentAt)
+void ShardEngine::handlePermits(const AskPermits& question, const Tickets& tickets, TimePoint sentAt, TimePoint now)
 {
     auto* job = findJob(question.job);
     if (job != nullptr && question.step < job->steps.size())
-        job->steps[question.step].permits.handleAnswer(question.upstreams, tickets, sentAt, question.policy.validity);
+        job->steps[question.step].permits.handleAnswer(
+            question.upstreams, tickets, sentAt, question.policy.validity, now);
 }
 
 void ShardEngine::handleNoPermits(const AskPermits& question, TimePoint now)
--- a/libs/shards/src/StepPermits.cpp
+++ b/libs/shards/src/StepPermits.cpp
@@ -42,7 +42,7 @@
 }
 
 void StepPermits::handleAnswer(
-    const std::vector<UpstreamId>& asked, const Tickets& tickets, TimePoint sentAt, Duration validity)
+    const std::vector<UpstreamId>& asked, const Tickets& tickets, TimePoint sentAt, Duration validity, TimePoint now)
 {
     for (const auto& id : asked) {
         const auto open = asked_.find(id);
@@ -54,6 +54,9 @@
         if (known.allowed) {
             known.ticket = ticket->second;
             known.expiresAt = sentAt + validity;
+            // Asking again at once would get nothing better.
+            if (known.expiresAt <= now + startDelivery)
+                retryAt_ = now + retryPause;
         }
         known_[id] = std::move(known);
         asked_.erase(open);
--- a/libs/shards/tests/PlacementAdviceTests.cpp
+++ b/libs/shards/tests/PlacementAdviceTests.cpp
@@ -53,7 +53,7 @@
     const auto question = fixture.question(0);
     CHECK_EQ(question.upstreams.size(), 3);
     CHECK(fixture.scheduled<StartTask>(5).empty());
-    fixture.engine.handlePermits(question, ticketsFor({ "i-2" }), at(5));
+    fixture.engine.handlePermits(question, ticketsFor({ "i-2" }), at(5), at(5));
     const auto starts = fixture.scheduled<StartTask>(20);
     REQUIRE_EQ(starts.size(), 2);
     for (const auto& start : starts) {
@@ -70,7 +70,7 @@
     fixture.submitAdvised(8, 0);
     const auto question = fixture.question(0);
     CHECK(fixture.scheduled<AskPermits>(10).empty());
-    fixture.engine.handlePermits(question, {}, at(5));
+    fixture.engine.handlePermits(question, {}, at(5), at(5));
     CHECK(fixture.scheduled<AskPermits>(20).empty());
     fixture.addUpstream(makeUpstream("i-2"), 30);
     const auto next = fixture.question(40);
@@ -97,7 +97,7 @@
     AdviceFixture fixture;
     fixture.addUpstream(makeUpstream("i-1"));
     fixture.submitAdvised(4, 0);
-    fixture.engine.handlePermits(fixture.question(0), ticketsFor({ "i-1" }), at(5));
+    fixture.engine.handlePermits(fixture.question(0), ticketsFor({ "i-1" }), at(5), at(5));
     const auto starts = fixture.scheduled<StartTask>(20);
     REQUIRE_EQ(starts.size(), 3);
 
@@ -134,6 +134,18 @@
     CHECK_EQ(fixture.question(400).upstreams.size(), 1);
 }
 
+// Guards against a loop of questions whose answers come too late to be used.
+TEST_CASE("A ticket that has expired on arrival is not asked for again at once")
+{
+    AdviceFixture fixture;
+    fixture.addUpstream(makeUpstream("i-1"));
+    fixture.submitAdvised(1, 0);
+    const auto question = fixture.question(0);
+    fixture.engine.handlePermits(question, ticketsFor({ "i-1" }), at(0), at(validityMs));
+    CHECK(fixture.scheduled<AskPermits>(validityMs + 5).empty());
+    CHECK_EQ(fixture.question(validityMs + 400).upstreams.size(), 1);
+}
+
 // Guards against an answer to a cancelled submission that rules out upstreams for the next one.
 TEST_CASE("A late answer says nothing about upstreams that it was not asked about")
 {
@@ -146,9 +158,9 @@
     fixture.submitAdvised(1, 30);
     const auto question = fixture.question(30);
     CHECK_EQ(question.upstreams.size(), 2);
-    fixture.engine.handlePermits(early, ticketsFor({}), at(1));
+    fixture.engine.handlePermits(early, ticketsFor({}), at(1), at(1));
     CHECK(fixture.scheduled<StartTask>(40).empty());
-    fixture.engine.handlePermits(question, ticketsFor({ "i-2" }), at(35));
+    fixture.engine.handlePermits(question, ticketsFor({ "i-2" }), at(35), at(35));
     CHECK_EQ(fixture.scheduled<StartTask>(60).size(), 1);
 }
 
