Read a settling report in one place

Cause: the two reports that settle a start without an answer were requested and decoded by two copies of the same code.

Change: lookFor() asks for the report, hands it to the engine and tells where it lists the run; the two steps differ only in what they decide then.

No behaviour changes.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -154,34 +154,45 @@
 void UpstreamSession::settle(const Shards::StartTask& start, int attempt)
 {
     // The answer may be lost while the task runs; then the report lists it and nothing has to be repeated.
-    const auto now = monotonicNow();
+    lookFor(start, attempt, [self = shared_from_this(), start, attempt](Seen seen) {
+        self->handlers_.progressed();
+        if (seen == Seen::Nowhere && !self->closed_)
+            self->settleByStop(start, attempt);
+    });
+}
+
+void UpstreamSession::lookFor(const Shards::StartTask& start, int attempt, std::function<void(Seen)> decide)
+{
+    const auto sentAt = monotonicNow();
     const auto request
         = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndToAcknowledge(id_), Duration::zero());
-    orders_->send(
-        request, now + answerTimeout, [self = shared_from_this(), start, now, attempt](const HttpResult& result) {
+    orders_->send(request, sentAt + answerTimeout,
+        [self = shared_from_this(), start, attempt, sentAt, decide = std::move(decide)](const HttpResult& result) {
             if (self->closed_)
                 return;
-            const auto answered = monotonicNow();
-            if (!self->noteAnswer(result, answered) || result.response->status != 200) {
+            const auto now = monotonicNow();
+            if (!self->noteAnswer(result, now) || result.response->status != 200) {
                 if (!self->closed_)
                     self->retrySettle(start, attempt);
                 return;
             }
+            Shards::UpstreamReport report;
             try {
-                const auto report = Platform::parseReport(*result.response);
-                const bool listed = std::any_of(report.running.begin(), report.running.end(),
-                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
-                const bool ended = std::any_of(report.ended.begin(), report.ended.end(),
-                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
-                self->engine_.handleReport(self->id_, report, now, answered);
-                self->handlers_.progressed();
-                if (!listed && !ended && !self->closed_)
-                    self->settleByStop(start, attempt);
+                report = Platform::parseReport(*result.response);
             } catch (const Platform::FormatError& error) {
                 self->context_.log.event(
                     "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
                 self->retrySettle(start, attempt);
+                return;
             }
+            self->engine_.handleReport(self->id_, report, sentAt, now);
+            const auto isRun = [&](const auto& each) { return each.task == start.task && each.run == start.run; };
+            if (std::any_of(report.running.begin(), report.running.end(), isRun))
+                decide(Seen::Running);
+            else if (std::any_of(report.ended.begin(), report.ended.end(), isRun))
+                decide(Seen::Ended);
+            else
+                decide(Seen::Nowhere);
         });
 }
 
@@ -208,35 +219,13 @@
 
 void UpstreamSession::settleByReport(const Shards::StartTask& start, int attempt)
 {
-    const auto sentAt = monotonicNow();
-    const auto request
-        = Platform::encodeReportRequest(id_, std::nullopt, fence_, engine_.lastEndToAcknowledge(id_), Duration::zero());
-    orders_->send(
-        request, sentAt + answerTimeout, [self = shared_from_this(), start, attempt, sentAt](const HttpResult& result) {
-            if (self->closed_)
-                return;
-            const auto now = monotonicNow();
-            if (!self->noteAnswer(result, now) || result.response->status != 200) {
-                if (!self->closed_)
-                    self->retrySettle(start, attempt);
-                return;
-            }
-            try {
-                const auto report = Platform::parseReport(*result.response);
-                const bool listed = std::any_of(report.running.begin(), report.running.end(),
-                    [&](const auto& each) { return each.task == start.task && each.run == start.run; });
-                self->engine_.handleReport(self->id_, report, sentAt, now);
-                if (listed)
-                    self->retrySettle(start, attempt);
-                else
-                    self->engine_.handleNeverStarted(self->id_, start.task, start.run, now);
-                self->handlers_.progressed();
-            } catch (const Platform::FormatError& error) {
-                self->context_.log.event(
-                    "upstream.bad_answer", { { "upstream", self->id_.value }, { "reason", error.what() } });
-                self->retrySettle(start, attempt);
-            }
-        });
+    lookFor(start, attempt, [self = shared_from_this(), start, attempt](Seen seen) {
+        if (seen == Seen::Running)
+            self->retrySettle(start, attempt);
+        else
+            self->engine_.handleNeverStarted(self->id_, start.task, start.run, monotonicNow());
+        self->handlers_.progressed();
+    });
 }
 
 void UpstreamSession::after(Duration delay, std::function<void()> action)
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -41,7 +41,16 @@
 private:
     void requestReport(TimePoint now, bool wait);
     void handleReport(const HttpResult&, TimePoint sentAt);
+    // Where an upstream's report lists a run.
+    enum class Seen {
+        Running,
+        Ended,
+        Nowhere,
+    };
+
     void settle(const Shards::StartTask&, int attempt);
+    /// Asks for a report and tells where it lists the run of a start; settles the start anew if there is no report.
+    void lookFor(const Shards::StartTask&, int attempt, std::function<void(Seen)> decide);
     void settleByStop(const Shards::StartTask&, int attempt);
     void settleByReport(const Shards::StartTask&, int attempt);
     void after(Duration delay, std::function<void()> action);
