Log why an owner cancels another entry's jobs, and how old its view of a lease is

shard.submitter_lost names the shard, its epoch, the lost entry and the number of its unfinished jobs. upstream.lease_expired tells the fencing token, the age of the last report and of the last reading of the clock, and how long the lease has been over; a counter goes with it. No decision is changed.

--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -332,6 +332,11 @@
         if (submitter.peer == peer)
             submitters.push_back(submitter);
     }
+    if (submitters.empty())
+        return;
+    context_.log.event("shard.submitter_lost",
+        { { "shard", name_.value }, { "epoch", epoch_.value }, { "peer", peer.vm.value },
+            { "jobs", std::uint64_t { submitters.size() } } });
     for (const auto& submitter : submitters)
         cancel(submitter);
 }
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -351,7 +351,11 @@
     const bool busy = engine_.isBusy(id_);
     if (busy && !expiryReported_ && leaseOver(now)) {
         expiryReported_ = true;
-        context_.log.event("upstream.lease_expired", { { "upstream", id_.value } });
+        context_.metrics.add("balsammill_leases_expired_total");
+        context_.log.event("upstream.lease_expired",
+            { { "upstream", id_.value }, { "fence", fence_.value }, { "since_report_ms", wholeMs(now - reportedAt_) },
+                { "since_clock_read_ms", wholeMs(now - clockReadAt_) },
+                { "over_for_ms", wholeMs(now - leaseOverAt_) } });
         engine_.handleLeaseExpired(id_, now);
         handlers_.progressed();
         return;
