Place nothing on an upstream that has restarted and not registered again

What callers saw: an upstream was given more than it has room for (LIMIT).

Cause: a report of the next incarnation tells its start time but not its capacity or labels. The engine took the incarnation over with the capacity and labels of the earlier one and placed tasks by them until the next registration was read, up to a heartbeat or an outage of the store later. The next incarnation may be of a smaller kind.

Evidence: the new test, on the code before: three tasks of 27 cores were placed on an upstream that comes back with 64 cores (CHECK( fixture.scheduled<StartTask>(3).empty() ) is NOT correct).

An upstream takes tasks only once the start time in its registration is not before that in its reports. Two existing tests used a reborn upstream without its new registration; they now register it first, and assert the same as before.

--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -50,6 +50,8 @@
     // Runs of earlier owners; the room is not known while there is one.
     std::uint32_t foreignRuns { 0 };
     std::uint64_t lastEndHandled { 0 };
+    // Start time of the incarnation that registered the service, capacity and labels in info; 0 if it told none.
+    std::int64_t describedBornMs { 0 };
     std::vector<UnrecordedEnd> unrecorded;
     bool registered { true };
     bool reachable { true };
@@ -62,6 +64,9 @@
     Duration suspicion {};
     // After a suspicion it gets one task at a time until one succeeds.
     bool onProbation { false };
+
+    // An incarnation that has reported but not registered yet may have another capacity and other labels.
+    bool isDescribed() const { return describedBornMs == 0 || describedBornMs >= info.bornMs; }
 };
 
 struct ShardEngine::Task {
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -27,6 +27,7 @@
     auto& upstream = entry->second;
     if (added) {
         upstream.info = info;
+        upstream.describedBornMs = info.bornMs;
         upstream.room = info.capacity;
         return;
     }
@@ -39,6 +40,7 @@
     Resources used = upstream.info.capacity;
     used -= upstream.room;
     upstream.info = info;
+    upstream.describedBornMs = info.bornMs;
     upstream.info.bornMs = std::max(info.bornMs, knownBorn);
     upstream.room = info.capacity;
     upstream.room -= used;
@@ -256,7 +258,8 @@
     ShardLoad load;
     for (const auto& [id, upstream] : upstreams_) {
         load.runningTasks += static_cast<std::uint32_t>(upstream.runs.size());
-        if (!upstream.registered || !upstream.confirmed || !upstream.reachable || upstream.info.draining)
+        if (!upstream.registered || !upstream.confirmed || !upstream.reachable || upstream.info.draining
+            || !upstream.isDescribed())
             continue;
         ++load.usableUpstreams;
         load.freeMilliCores += upstream.room.milliCores;
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -53,8 +53,8 @@
 
 bool ShardEngine::usable(const Upstream& upstream, TimePoint now) const
 {
-    return upstream.registered && upstream.confirmed && upstream.foreignRuns == 0 && upstream.reachable
-        && !upstream.info.draining && now >= upstream.suspectedUntil;
+    return upstream.registered && upstream.isDescribed() && upstream.confirmed && upstream.foreignRuns == 0
+        && upstream.reachable && !upstream.info.draining && now >= upstream.suspectedUntil;
 }
 
 bool ShardEngine::canHold(const Upstream& upstream, const JobSpec& job, const StepSpec& step) const
--- a/libs/shards/tests/ShardEngineTests.cpp
+++ b/libs/shards/tests/ShardEngineTests.cpp
@@ -216,6 +216,9 @@
     {
         fixture.started(start, 1);
         fixture.engine.handleReport(start.upstream, { .bornMs = 2000, .running = {}, .ended = {} }, at(50), at(51));
+        auto registration = makeUpstream(start.upstream.value);
+        registration.bornMs = 2000;
+        fixture.engine.updateUpstream(registration, at(51));
         CHECK_EQ(fixture.scheduled<StartTask>(51).size(), 1);
     }
     SUBCASE("an end is reported twice: it counts once")
@@ -240,6 +243,9 @@
     EngineFixture fixture;
     fixture.addUpstream(makeUpstream("u1", 16'000));
     fixture.engine.handleReport(UpstreamId("u1"), { .bornMs = 2000, .running = {}, .ended = {} }, at(1), at(2));
+    auto registration = makeUpstream("u1", 16'000);
+    registration.bornMs = 2000;
+    fixture.engine.updateUpstream(registration, at(2));
     fixture.submit({ .id = "00000000000000a1", .milliCores = 14'000 }, 3);
     CHECK_EQ(fixture.scheduled<StartTask>(3).size(), 1);
     fixture.engine.updateUpstream(makeUpstream("u1", 16'000), at(4));
@@ -247,6 +253,23 @@
     CHECK(fixture.scheduled<StartTask>(5).empty());
 }
 
+// Guards against more work on an upstream than it has room for: its next incarnation may be of a smaller kind.
+TEST_CASE("An upstream that has started again takes no task before it has registered again")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 96'000));
+    fixture.engine.handleReport(UpstreamId("u1"), { .bornMs = 2000, .running = {}, .ended = {} }, at(1), at(2));
+    fixture.submit({ .tasks = 3, .milliCores = 27'000 }, 3);
+    CHECK(fixture.scheduled<StartTask>(3).empty());
+    // The registration of the earlier incarnation, which is read late, does not count.
+    fixture.engine.updateUpstream(makeUpstream("u1", 96'000), at(4));
+    CHECK(fixture.scheduled<StartTask>(4).empty());
+    auto registration = makeUpstream("u1", 64'000);
+    registration.bornMs = 2000;
+    fixture.engine.updateUpstream(registration, at(5));
+    CHECK_EQ(fixture.scheduled<StartTask>(5).size(), 2);
+}
+
 // Guards against two runs of one task: the start was accepted by the next incarnation of the upstream before the owner
 // knew of it, and the report or registration that names the next incarnation ended that run in the owner's books.
 TEST_CASE("A run that the next incarnation of its upstream accepted goes on")
