Treat a peer whose address cannot be parsed as silent

What others see: one record in the table of shards with a port out of range, a host name or no port ends every entry that reads the table, and again after each start.

Cause: PeerNetwork::connect parses the address with a function that throws. It is called on the event loop for every owner that the records name (JobClient::advance, ShardOwnership::considerClaim and deliver), and for addresses in messages of peers. Nothing on the loop catches the exception.

Change: findEndpoint() parses without an exception, and such a peer stays in the state Silent, like one that does not answer. The record is kept, because the next claim has to follow its epoch and version. It is logged as shard.bad_record and counted in balsammill_bad_records_total.

Where else: parseEndpoint is called in HttpClient with the addresses of registrations, which are checked when they are decoded, and with addresses of the settings, which are checked when they are read.

--- a/libs/http/include/balsammill/http/HttpServer.h
+++ b/libs/http/include/balsammill/http/HttpServer.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace Balsammill {
@@ -66,5 +67,7 @@
 
 /// Parses "host:port" with a numeric host. Throws std::invalid_argument.
 boost::asio::ip::tcp::endpoint parseEndpoint(const NetworkAddress&);
+/// The same without an exception; empty if the address cannot be parsed.
+std::optional<boost::asio::ip::tcp::endpoint> findEndpoint(const NetworkAddress&);
 
 } // namespace Balsammill
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -312,19 +312,26 @@
     return NetworkAddress(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
 }
 
-asio::ip::tcp::endpoint parseEndpoint(const NetworkAddress& address)
+std::optional<asio::ip::tcp::endpoint> findEndpoint(const NetworkAddress& address)
 {
     const auto colon = address.value.rfind(':');
     if (colon == std::string::npos)
-        throw std::invalid_argument("address without a port: '" + address.value + "'");
+        return std::nullopt;
     const auto digits = std::string_view(address.value).substr(colon + 1);
     std::uint16_t port = 0;
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
     error_code error;
     const auto host = asio::ip::make_address(address.value.substr(0, colon), error);
     if (error || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
-        throw std::invalid_argument("address is not numeric host:port: '" + address.value + "'");
-    return { host, port };
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(host, port);
+}
+
+asio::ip::tcp::endpoint parseEndpoint(const NetworkAddress& address)
+{
+    if (const auto endpoint = findEndpoint(address))
+        return *endpoint;
+    throw std::invalid_argument("address is not numeric host:port: '" + address.value + "'");
 }
 
 } // namespace Balsammill
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -115,7 +115,7 @@
               { .changed =
                       [this](const Platform::Row& row) {
                           if (!directory.apply(row, monotonicNow()))
-                              log.event("shard.bad_record", { { "key", row.key } });
+                              context.noteBadRecord("shard.bad_record", ShardDirectory::table, { { "key", row.key } });
                           else if (row.key != ShardDirectory::layoutKey)
                               handleShardChange(Shards::ShardName(row.key));
                       },
--- a/libs/node/src/NodeContext.h
+++ b/libs/node/src/NodeContext.h
@@ -18,6 +18,13 @@
     Incarnation incarnation;
     StructuredLog& log;
     Metrics& metrics;
+
+    /// Logs and counts a record of the store that cannot be used.
+    void noteBadRecord(std::string_view event, std::string_view table, LogFields fields) const
+    {
+        log.event(event, fields);
+        metrics.add("balsammill_bad_records_total", "table=\"" + std::string(table) + "\"");
+    }
 };
 
 } // namespace Balsammill
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -1,6 +1,7 @@
 #include "ShardOwnership.h"
 
 #include "balsammill/base/StableHash.h"
+#include "balsammill/http/HttpServer.h"
 #include "balsammill/internal/shard.pb.h"
 #include "platform/Documents.h"
 #include "platform/Json.h"
@@ -355,6 +356,10 @@
     const auto* owner = directory_.find(name);
     if (owner == nullptr)
         return;
+    // The record is kept, because a claim of the shard has to follow its epoch and version.
+    if (!findEndpoint(owner->address))
+        context_.noteBadRecord(
+            "shard.bad_record", ShardDirectory::table, { { "key", name.value }, { "reason", "address" } });
     const bool serving = servers_.contains(name);
     const bool handedOver
         = owner->handedOverBy == context_.settings.vm && owner->handedOverByIncarnation == context_.incarnation;
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -70,11 +70,14 @@
 void PeerNetwork::connect(const NetworkAddress& address, Outbound& entry, TimePoint now)
 {
     entry.retryAt = now + reconnectDelay;
-    const auto endpoint = parseEndpoint(address);
+    // Addresses come from records and messages of others; one that cannot be used is that of a peer that is silent.
+    const auto endpoint = findEndpoint(address);
+    if (!endpoint)
+        return;
     entry.link = std::make_shared<PeerLink>(
         asio::ip::tcp::socket(context_), false, [this](PeerLink& from, const auto& message) { handle(from, message); },
         [this](PeerLink& ended, LinkEnd end) { handleEnd(ended, end); });
-    entry.link->start(&endpoint, [this](PeerLink& opened) { greet(opened); });
+    entry.link->start(&*endpoint, [this](PeerLink& opened) { greet(opened); });
 }
 
 std::shared_ptr<PeerLink> PeerNetwork::linkTo(const NetworkAddress& address, TimePoint now)
