Follow the other rows past a row whose value cannot be decoded

What others see: a row with a value that is not base64, or not a text, makes each answer that holds it count as no answer. A follower of the table asks for the same rows again and again and learns of no change any more.

Cause: parseRows() throws for the whole answer if the value of one row cannot be decoded.

Followers find that the empty value names nothing. Reads of the product's own table still answer "unavailable" instead of an absent value.

The test of complete listings, which has such a row, is unchanged and passes. The stand-in store encodes values itself, so no test with real processes shows this.

--- a/libs/node/src/durable/JournalCodec.cpp
+++ b/libs/node/src/durable/JournalCodec.cpp
@@ -80,7 +80,9 @@
         StoredJobState state;
         const JobId withSpec { withoutSuffix(row.key, specSuffix) };
         const JobId withState { withoutSuffix(row.key, stateSuffix) };
-        if (!withSpec.empty() && job.ParseFromString(row.value))
+        if (row.unreadable)
+            ++malformed;
+        else if (!withSpec.empty() && job.ParseFromString(row.value))
             jobs[withSpec].spec = std::make_shared<const Shards::JobSpec>(decodeJob(job));
         else if (!withState.empty() && state.ParseFromString(row.value))
             jobs[withState].state = decodeState(state);
--- a/libs/node/src/durable/ShardJournal.cpp
+++ b/libs/node/src/durable/ShardJournal.cpp
@@ -83,7 +83,10 @@
         [this, alive = alive_](const auto& result) {
             if (!*alive)
                 return;
-            if (result.status != Platform::StoreStatus::Ok) {
+            // A fence that cannot be read may be that of a later owner.
+            const bool fenceUnreadable = std::any_of(result.rows.begin(), result.rows.end(),
+                [](const Platform::Row& each) { return each.key == fenceKey && each.unreadable; });
+            if (result.status != Platform::StoreStatus::Ok || fenceUnreadable) {
                 retryLater(&ShardJournal::restartOpen);
                 return;
             }
@@ -97,7 +100,7 @@
                 if (each.key == fenceKey)
                     fenceVersion_ = each.version;
                 else
-                    rows_.push_back({ .key = each.key, .value = each.value });
+                    rows_.push_back({ .key = each.key, .value = each.value, .unreadable = each.unreadable });
             }
             if (result.hasMore && !result.rows.empty())
                 readPage(result.rows.back().key + std::string(1, '\x01'));
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -21,6 +21,8 @@
     struct Row {
         std::string key;
         std::string value;
+        /// The store's value could not be decoded.
+        bool unreadable { false };
     };
     struct Write {
         std::vector<Row> puts {};
--- a/libs/node/src/ownership/UpstreamRegistry.cpp
+++ b/libs/node/src/ownership/UpstreamRegistry.cpp
@@ -58,6 +58,8 @@
 {
     const Shards::UpstreamId id(row.key);
     try {
+        if (row.unreadable)
+            throw Platform::FormatError("the value cannot be decoded");
         const auto info = Platform::parseUpstream(row.key, row.value);
         missing_.erase(id);
         upstreams_[id] = info;
