Reject a layout with more shards than a domain can have

What others would see: a layout record with 4,294,967,295 shards is adopted, and each round of the event loop counts through them, so that the entry answers nothing any more.

Cause: ShardDirectory::apply() rejects only a layout of 0 shards.

Change: a layout of more than 10,000 shards is rejected as a bad record; 10,000 shards are for 240,000 upstreams.

Evidence: test_node, "A layout with more shards than a domain can have is not adopted". Before: CHECK_FALSE( true ) for 1,000,000 and for 4,294,967,295 shards. After, it passes. The endless round itself was not run.

--- a/libs/node/src/ownership/ShardDirectory.cpp
+++ b/libs/node/src/ownership/ShardDirectory.cpp
@@ -9,6 +9,8 @@
 
 // Clients of the count accept one that is two seconds old; the rest is for the way.
 constexpr Duration oldestCount = std::chrono::milliseconds(1700);
+// Shards of a domain are counted through in each round of the loop; one shard is for 24 upstreams.
+constexpr std::uint32_t mostShardsPerDomain = 10'000;
 
 } // namespace
 
@@ -16,7 +18,8 @@
 {
     if (row.key == layoutKey) {
         balsammill::internal::ShardLayoutRecord record;
-        if (!record.ParseFromString(row.value) || record.shards_per_domain() == 0)
+        if (!record.ParseFromString(row.value) || record.shards_per_domain() == 0
+            || record.shards_per_domain() > mostShardsPerDomain)
             return false;
         shardsPerDomain_ = record.shards_per_domain();
         return true;
--- a/libs/node/tests/ShardDirectoryTests.cpp
+++ b/libs/node/tests/ShardDirectoryTests.cpp
@@ -68,3 +68,14 @@
         shard, { .waitingByQueue = { { { checks, 1 } } }, .epoch = Epoch(2), .reportedAt = at(1'000) });
     CHECK(directory.waitingJobs(checks, at(1'000)) == 6U);
 }
+
+// Guards against a process that counts through thousands of millions of shards in each round of its loop.
+TEST_CASE("A layout with more shards than a domain can have is not adopted")
+{
+    ShardDirectory directory;
+    CHECK(directory.apply(ShardDirectory::encodeLayout(2), at(0)));
+    for (const auto shards : { 0U, 1'000'000U, 4'294'967'295U }) {
+        CHECK_FALSE(directory.apply(ShardDirectory::encodeLayout(shards), at(0)));
+        CHECK_EQ(directory.shardsPerDomain(), 2U);
+    }
+}
