Take an upstream away at once when its registration becomes unusable

Cause: UpstreamRegistry handles a registration that cannot be used like one that has vanished, and grants it the grace for upstreams that register again after an outage.

Change: the grace is for registrations that vanish; one that is there and cannot be used counts as gone at once.

Evidence: test_node, "A registration that becomes unusable soon after an outage takes the upstream away at once".

--- a/libs/node/src/ownership/UpstreamRegistry.cpp
+++ b/libs/node/src/ownership/UpstreamRegistry.cpp
@@ -65,8 +65,11 @@
         upstreams_[id] = info;
         handlers_.changed(info);
     } catch (const Platform::FormatError& error) {
-        context_.log.event("upstream.bad_registration", { { "upstream", row.key }, { "reason", error.what() } });
-        handleRemoved(row.key);
+        context_.noteBadRecord("upstream.bad_registration", Platform::upstreamTable,
+            { { "upstream", row.key }, { "reason", error.what() } });
+        // It is there and names nothing that can be used, so an outage is no reason to wait for it.
+        if (upstreams_.contains(id))
+            missing_[id] = monotonicNow();
     }
 }
 
--- /dev/null
+++ b/libs/node/tests/UpstreamRegistryTests.cpp
@@ -0,0 +1,105 @@
+#include "OperatorStore.h"
+#include "ownership/UpstreamRegistry.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace Balsammill;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string registration(const std::string& address = "127.0.0.1:9")
+{
+    return R"({"service":"tanim","address":")" + address
+        + R"(","zone":"valencia","state":"ready","capacity":{"cpu":16000,"memory_limit_mb":1024},"born":1700})";
+}
+
+/// A registry on a loop of its own, against the stand-in store.
+struct Fixture {
+    Standin::LoopThread storeLoop;
+    Standin::OperatorStore operatorStore { storeLoop };
+    StructuredLog log { { .vm = "front-1" } };
+    Metrics metrics;
+    std::atomic<int> failedCalls { 0 };
+    Standin::LoopThread ownLoop;
+    std::unique_ptr<NodeContext> context;
+    std::unique_ptr<Platform::Store> store;
+    std::unique_ptr<UpstreamRegistry> registry;
+
+    Fixture()
+    {
+        ownLoop.run([this] {
+            context = std::make_unique<NodeContext>(NodeContext {
+                .loop = ownLoop.context(), .settings = {}, .incarnation = {}, .log = log, .metrics = metrics });
+            store = std::make_unique<Platform::Store>(ownLoop.context(), NetworkAddress(operatorStore.address()),
+                [this](Platform::StoreCall, Platform::StoreStatus status, Duration) {
+                    failedCalls += status == Platform::StoreStatus::Ok ? 0 : 1;
+                });
+            registry = std::make_unique<UpstreamRegistry>(*context, *store,
+                UpstreamRegistry::Handlers {
+                    .changed = [](const Shards::UpstreamInfo&) {}, .removed = [](const Shards::UpstreamId&) {} });
+            registry->follow(true);
+        });
+    }
+    ~Fixture()
+    {
+        ownLoop.run([this] {
+            registry.reset();
+            store.reset();
+        });
+    }
+
+    bool knows(const std::string& id)
+    {
+        return ownLoop.run([&] {
+            registry->advance(monotonicNow());
+            return registry->upstreams().contains(Shards::UpstreamId(id));
+        });
+    }
+
+    template <typename Condition> static bool waitUntil(Condition condition)
+    {
+        const auto deadline = monotonicNow() + 20s;
+        while (!condition() && monotonicNow() < deadline)
+            std::this_thread::sleep_for(10ms);
+        return condition();
+    }
+};
+
+} // namespace
+
+// Guards against an odd registration that ends the reading of the others, or the process.
+TEST_CASE("The registry follows the other registrations past those that cannot be used")
+{
+    Fixture fixture;
+    fixture.operatorStore.put("servers", "i-1", registration());
+    fixture.operatorStore.put("servers", "i-2", std::string(20'000, '['));
+    fixture.operatorStore.put("servers", "i-3", R"({"born":1e999})");
+    fixture.operatorStore.put("servers", "i-4", registration("127.0.0.1:99999"));
+    fixture.operatorStore.put("servers", "i-5", std::string("\xff\x00\xfe", 3));
+    fixture.operatorStore.put("servers", "i-6", registration());
+    REQUIRE(fixture.waitUntil([&] { return fixture.knows("i-6"); }));
+    CHECK(fixture.knows("i-1"));
+    for (const auto* odd : { "i-2", "i-3", "i-4", "i-5" })
+        CHECK_FALSE_MESSAGE(fixture.knows(odd), odd);
+}
+
+// Guards against tasks for an upstream whose registration names none any more. The grace after an outage of the store
+// is for registrations that vanish, because those come back.
+TEST_CASE("A registration that becomes unusable soon after an outage takes the upstream away at once")
+{
+    Fixture fixture;
+    fixture.operatorStore.put("servers", "i-1", registration());
+    REQUIRE(fixture.waitUntil([&] { return fixture.knows("i-1"); }));
+    fixture.operatorStore.setDown(true);
+    REQUIRE(fixture.waitUntil([&] { return fixture.failedCalls > 0; }));
+    fixture.operatorStore.put("servers", "i-1", registration("127.0.0.1:99999"));
+    fixture.operatorStore.put("servers", "i-2", registration());
+    fixture.operatorStore.setDown(false);
+    // Rows come in the order of their versions, so the changed one has been handled by then.
+    REQUIRE(fixture.waitUntil([&] { return fixture.knows("i-2"); }));
+    CHECK_FALSE(fixture.knows("i-1"));
+}
