Ask a restarted upstream for a report before its next start

What callers saw: an upstream was given more than its capacity (LIMIT), or ran a task that also ran elsewhere (TWICE), when it had started again under its id while a former owner of the shard was still sending orders.

Cause: the next incarnation has seen no fencing token. The owner learned of it by the registration and went on using the upstream without a report, so a former owner's orders were not fenced there and its runs were not known.

Evidence, new test "An upstream that registers again takes no task before it has reported" on the code before: CHECK_FALSE( fixture.engine.isConfirmed(UpstreamId("u1")) ) is NOT correct CHECK( fixture.scheduled<StartTask>(2).empty() ) is NOT correct

A later `born` now takes the confirmation back. The request for a report carries the owner's token, and the report names runs of others, which have to end first. One report is enough if the owner had known all runs before; an upstream that was not confirmed yet needs both reports from its present incarnation.

A former owner can still be first between the restart and the registration.

--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Balsammill::Shards {
 
@@ -174,6 +175,11 @@
     upstream.lastEndHandled = 0;
     upstream.unrecorded.clear();
     forgetExpected(upstream.info.id);
+    // The next incarnation has seen no fencing token, so a former owner's orders take effect there until it has been
+    // asked for a report. One is enough if this owner knew all runs before.
+    if (std::exchange(upstream.confirmed, false))
+        trusted_.insert(upstream.info.id);
+    upstream.firstReportAt = TimePoint {};
 }
 
 void ShardEngine::retryRuns(Upstream& upstream, const std::vector<TaskKey>& keys, TimePoint now)
--- a/libs/shards/tests/ShardEngineTests.cpp
+++ b/libs/shards/tests/ShardEngineTests.cpp
@@ -339,6 +339,43 @@
     }
 }
 
+// Guards against an upstream over its capacity: the next incarnation has seen no fencing token, so it carries out
+// orders of a former owner until the present one has asked it for a report.
+TEST_CASE("An upstream that registers again takes no task before it has reported")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 16'000));
+    auto registration = makeUpstream("u1", 16'000);
+    registration.bornMs = 2000;
+    fixture.engine.updateUpstream(registration, at(1));
+    fixture.submit({ .milliCores = 14'000 }, 2);
+    CHECK_FALSE(fixture.engine.isConfirmed(UpstreamId("u1")));
+    CHECK(fixture.scheduled<StartTask>(2).empty());
+    UpstreamReport report { .bornMs = 2000, .running = {}, .ended = {} };
+
+    SUBCASE("a run of a former owner has ended before the next start")
+    {
+        report.running.push_back({ .task = { .job = JobId("00000000000000ff"), .occurrence = 0, .step = 0, .index = 0 },
+            .run = RunNumber(1),
+            .checkpoint = {} });
+        fixture.engine.handleReport(UpstreamId("u1"), report, at(3), at(4));
+        CHECK(fixture.scheduled<StartTask>(4).empty());
+        report.ended.push_back({ .sequence = 1,
+            .task = report.running[0].task,
+            .run = RunNumber(1),
+            .how = RunEnd::Stopped,
+            .checkpoint = {} });
+        report.running.clear();
+        fixture.engine.handleReport(UpstreamId("u1"), report, at(10), at(11));
+        CHECK_EQ(fixture.scheduled<StartTask>(11).size(), 1);
+    }
+    SUBCASE("one report is enough, because all orders of this owner are known")
+    {
+        fixture.engine.handleReport(UpstreamId("u1"), report, at(3), at(4));
+        CHECK_EQ(fixture.scheduled<StartTask>(4).size(), 1);
+    }
+}
+
 // Guards against attempts beyond what the queue allows.
 TEST_CASE("A job fails when a task has failed as often as the queue allows")
 {
