Let expected runs wait for the report of a restarted upstream

What callers saw: after a shard was handed over, a task could run twice at the same time (TWICE) or be stopped and begun again, if the upstream it was expected on had started again under its id.

Cause: a former owner's start may have reached the next incarnation, as the owner's own may. A later `born` made the next owner forget what it expected there, so the task was free to start elsewhere and its run was not adopted.

Evidence, new test "A task that is expected on a restarted upstream waits for the report of the next incarnation" on the code before: Its registration is read first: CHECK( handover.next.scheduled<StartTask>(155).empty() ) is NOT correct CHECK_EQ( handover.next.taken<TaskAdopted>().size(), 1 ): 0, 1 Its report tells of the restart: CHECK_EQ( handover.next.taken<TaskAdopted>().size(), 1 ): 0, 1

--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -174,7 +174,6 @@
     retryRuns(upstream, over, now);
     upstream.lastEndHandled = 0;
     upstream.unrecorded.clear();
-    forgetExpected(upstream.info.id);
     // The next incarnation has seen no fencing token, so a former owner's orders take effect there until it has been
     // asked for a report. One is enough if this owner knew all runs before.
     if (std::exchange(upstream.confirmed, false))
--- a/libs/shards/tests/JobTransferTests.cpp
+++ b/libs/shards/tests/JobTransferTests.cpp
@@ -110,6 +110,30 @@
     CHECK_GT(starts[0].run.value, handover.running.run.value);
 }
 
+// Guards against two runs of a task at a time: the former owner's start may have reached the next incarnation of an
+// upstream that has started again under its id.
+TEST_CASE("A task that is expected on a restarted upstream waits for the report of the next incarnation")
+{
+    Handover handover;
+    handover.next.addUpstream(makeUpstream("u2", 32'000), 150);
+    auto starts = handover.next.scheduled<StartTask>(150);
+    REQUIRE_EQ(starts.size(), 1);
+    UpstreamReport report { .bornMs = 2000, .running = { listed(handover.running) }, .ended = {} };
+    SUBCASE("Its registration is read first")
+    {
+        auto registration = makeUpstream("u1", 32'000);
+        registration.bornMs = 2000;
+        handover.next.engine.updateUpstream(registration, at(155));
+        CHECK(handover.next.scheduled<StartTask>(155).empty());
+    }
+    SUBCASE("Its report tells of the restart") { }
+    handover.next.engine.handleReport(u1, report, at(160), at(161));
+    CHECK_EQ(handover.next.taken<TaskAdopted>().size(), 1);
+    handover.next.engine.handleReport(u1, report, at(230), at(231));
+    const auto actions = handover.next.scheduled<StopTask>(231);
+    CHECK(actions.empty());
+}
+
 // Guards against predictions that are off after each planned stop.
 TEST_CASE("What was learned of run times goes to the next owner")
 {
