Count the age of the clock reading into the end of an upstream's lease

Cause: deadlines are set on an estimate of the upstream's clock, which is the last reading plus the time since. An idle upstream is not asked for reports, so the reading may be old, and a clock that is 2 % slow has fallen behind the estimate by 20 ms for each second. It reaches the deadline later by that, and the owner's end of the lease did not allow for it: after 30 s, a start's lease lasts up to 1,020 ms (the longest lease) where 612 ms and 130 ms of margin were counted.

Change: the end of a lease is computed from the lease's length and the age of the reading. While an upstream is asked for reports the reading is less than a second old, and the end moves by at most 20 ms.

Before, test_node -tc="*old reading*" failed, after 30 s: 612,244 us counted, the deadline is reached after 1,224,490 us (also without an age: 1 us by rounding down). After: test_node passes, 11 cases.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Balsammill {
@@ -59,6 +60,14 @@
     return Duration(static_cast<Duration::rep>(real)) + expiryMargin + settings.stopGrace;
 }
 
+Duration UpstreamSession::longestOf(Duration length, Duration sinceReading)
+{
+    // The slowest clock has fallen behind its estimate since it was read, so it reaches the deadline later by that.
+    const auto ticks
+        = static_cast<double>(length.count()) + (1.0 - slowestClock) * static_cast<double>(sinceReading.count());
+    return Duration(static_cast<Duration::rep>(std::ceil(ticks / slowestClock)));
+}
+
 void UpstreamSession::close()
 {
     closed_ = true;
@@ -73,7 +82,7 @@
 
 Platform::UpstreamClock UpstreamSession::grant(TimePoint now, Duration length)
 {
-    const auto real = Duration(static_cast<Duration::rep>(static_cast<double>(length.count()) / slowestClock));
+    const auto real = longestOf(length, now - clockReadAt_);
     leaseOverAt_ = std::max(leaseOverAt_, now + real + expiryMargin + context_.settings.stopGrace);
     expiryReported_ = false;
     return Platform::UpstreamClock(clockAt(now).value + wholeMs(length));
