Cancel the jobs of an entry that never connects to the next owner

Seen by callers: a job that its client sends again after its entry was lost runs beside the first one, which goes on at the next owner of the shard.

Cause: jobs are cancelled when the inbound connection of their entry closes. After a hand-over the next owner may never have had such a connection, so nothing closes when the entry is killed, or when it answers "in doubt" because it cannot reach the next owner.

Each owner now checks at every tick which entries of its jobs have an open connection to it, and cancels the jobs of one that has had none for 800 ms, the time after which that entry gives its request up.

--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -101,6 +101,7 @@
     }
     std::vector<Shards::ShardName> owned;
     for (auto& [name, server] : servers_) {
+        server->cancelAbandoned([this](const PeerId& peer) { return peers_.acceptedFrom(peer); }, now);
         server->advance();
         owned.push_back(name);
     }
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -3,6 +3,8 @@
 #include "balsammill/http/HttpServer.h"
 #include "balsammill/internal/shard.pb.h"
 
+#include <algorithm>
+
 namespace Balsammill {
 
 namespace asio = boost::asio;
@@ -199,6 +201,11 @@
     return nullptr;
 }
 
+bool PeerNetwork::acceptedFrom(const PeerId& peer) const
+{
+    return std::any_of(inbound_.begin(), inbound_.end(), [&](const auto& link) { return link->peer() == peer; });
+}
+
 void PeerNetwork::sendToAll(const balsammill::internal::ShardPeerMessage& message)
 {
     // A link that is full closes itself while it is sent to, so the loop runs over a copy.
--- a/libs/node/src/peers/PeerNetwork.h
+++ b/libs/node/src/peers/PeerNetwork.h
@@ -44,6 +44,8 @@
     std::vector<std::shared_ptr<PeerLink>> peersIn(const FailureDomain&) const;
     /// An open connection to that process, whoever opened it; null if there is none.
     std::shared_ptr<PeerLink> linkOf(const PeerId&) const;
+    /// True if that process has opened a connection to this one and it is still open.
+    bool acceptedFrom(const PeerId&) const;
     bool connectedTo(const PeerId& peer) const { return linkOf(peer) != nullptr; }
     void sendToAll(const balsammill::internal::ShardPeerMessage&);
     SentBytes sentBytes() const;
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -11,6 +11,9 @@
 // Reading the registrations, the first reports, and stopping what an earlier owner has left.
 constexpr Duration settlingTime = std::chrono::milliseconds(250);
 
+// As long as an entry waits for a connection to the next owner before it answers that a job is in doubt.
+constexpr Duration originPatience = std::chrono::milliseconds(800);
+
 // For the log: -1 while no upstream is known that could run the job.
 std::int64_t forecastMs(const Shards::JobForecast& forecast, TimePoint now)
 {
@@ -341,6 +344,22 @@
         cancel(submitter);
 }
 
+void ShardServer::cancelAbandoned(const std::function<bool(const PeerId&)>& isConnected, TimePoint now)
+{
+    std::map<PeerId, TimePoint> absent;
+    for (const auto& [submitter, number] : bySubmitter_) {
+        if (submitter.peer.vm.empty() || isConnected(submitter.peer))
+            continue;
+        const auto known = absentUntil_.find(submitter.peer);
+        absent.emplace(submitter.peer, known == absentUntil_.end() ? now + originPatience : known->second);
+    }
+    absentUntil_ = std::move(absent);
+    for (const auto& [peer, until] : absentUntil_) {
+        if (now >= until)
+            cancelAllOf(peer);
+    }
+}
+
 void ShardServer::abandon()
 {
     abandoned_ = true;
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -66,6 +66,9 @@
     void setShardCount(std::size_t count) { durable_.setShardCount(count); }
     /// Cancels every submission of an entry.
     void cancelAllOf(const PeerId&);
+    /// Cancels the jobs of entries that have had no connection to this process for a while, such as one that is lost
+    /// before it connects to the next owner of a shard.
+    void cancelAbandoned(const std::function<bool(const PeerId&)>& isConnected, TimePoint now);
     const PeerId& predecessor() const { return predecessor_; }
     /// Goes on where the predecessor has stopped.
     void takeOver(const HandOver&);
@@ -129,6 +132,8 @@
     std::map<Shards::UpstreamId, Shards::UpstreamInfo> upstreams_;
     std::unordered_map<Shards::SubmissionId, Open> open_;
     std::map<Submitter, Shards::SubmissionId> bySubmitter_;
+    // When the jobs of an entry without a connection are cancelled.
+    std::map<PeerId, TimePoint> absentUntil_;
     std::uint64_t lastSubmission_ { 0 };
     PeerId predecessor_;
     // What the predecessor knew of durable jobs, until the journal has been read.
--- a/tests/platform/NodeFailureTests.cpp
+++ b/tests/platform/NodeFailureTests.cpp
@@ -282,3 +282,24 @@
     CHECK_EQ(fleet.violations(), "");
     CHECK_EQ(fleet.starts(), rounds);
 }
+
+// Guards against tasks that run on beside those of the job that the client sends again: the entry that the client had
+// asked is lost during a hand-over, before it has a connection to the next owner.
+TEST_CASE("The next owner stops the jobs of an entry that is lost during the hand-over [node]")
+{
+    Fleet fleet({ .name = "node-stop-origin", .entriesPerDomain = 3, .upstreamsPerDomain = 1, .runMs = 60'000 });
+    REQUIRE(fleet.waitUntilReady());
+    const auto owner = fleet.ownerOf("valencia");
+    REQUIRE_LT(owner, fleet.entryCount());
+    // The shard is offered to the entry with the lower name first.
+    const std::size_t origin = owner == 2 ? 1 : 2;
+    std::thread client([&] { fleet.submit(origin, jobId(1), 1); });
+    CHECK(waitUntil(in(10s), [&] { return fleet.running() == 1; }));
+    fleet.entry(origin).signal(SIGSTOP);
+    fleet.entry(owner).signal(SIGTERM);
+    CHECK(waitUntil(in(10s), [&] { return fleet.ownerOf("valencia") == 3 - owner - origin; }));
+    fleet.entry(origin).signal(SIGKILL);
+    client.join();
+    CHECK(waitUntil(in(10s), [&] { return fleet.running() == 0; }));
+    CHECK_EQ(fleet.violations(), "");
+}
