Count the gap of a stopped run from its stop

What callers could see: an upstream given more than it has room for (LIMIT), or a second run of a task (TWICE).

Cause: the rule that a stopped run is over when two reports, a stop's grace apart, do not list it noted the first such report in every state of the run. A report made before the start arrived could be the first one, so that one report in the gap of a late stop decided, as before the rule.

Evidence: "The gap of a stopped run does not count from a report before its start", before: RepeatedStopTests.cpp:89: CHECK( fixture.scheduled<StartTask>(396).empty() ) is NOT correct. The note is cleared while the run is not being stopped.

--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -125,7 +125,7 @@
         const bool graceOver = run.unlistedSince != TimePoint {} && run.unlistedSince + options_.stopGrace <= sentAt;
         const bool wasStopped
             = run.state == RunState::Stopping && known && run.stopSentAt + stopPatience <= sentAt && graceOver;
-        if (listed)
+        if (listed || run.state != RunState::Stopping)
             run.unlistedSince = TimePoint {};
         else if (run.unlistedSince == TimePoint {})
             run.unlistedSince = now;
--- a/libs/shards/tests/RepeatedStopTests.cpp
+++ b/libs/shards/tests/RepeatedStopTests.cpp
@@ -70,3 +70,21 @@
     world.report(570, 571, false);
     CHECK(world.fixture.scheduled<StartTask>(571).empty());
 }
+
+// Guards against a gap that is counted from before the stop: a report that was made before the start arrived does not
+// list the run either.
+TEST_CASE("The gap of a stopped run does not count from a report before its start")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 16'000));
+    const auto submission = fixture.submit({ .id = "a", .milliCores = 14'000 }, 0);
+    const auto start = fixture.scheduled<StartTask>(0).at(0);
+    const UpstreamReport nowhere { .bornMs = 1000, .running = {}, .ended = {} };
+    fixture.engine.handleReport(start.upstream, nowhere, at(1), at(5));
+    fixture.started(start, 8);
+    fixture.engine.cancel(submission, at(10));
+    fixture.submit({ .id = "b", .milliCores = 14'000 }, 10);
+    // The stop is carried out late and takes effect within 50 ms; the run is in neither list until then.
+    fixture.engine.handleReport(start.upstream, nowhere, at(395), at(396));
+    CHECK(fixture.scheduled<StartTask>(396).empty());
+}
