Count every lease as the longest that an upstream grants

What callers could see: a task that is started elsewhere while its run goes on (TWICE).

Cause: the end of a start's lease was computed from 600 ms and the age of the clock reading. An upstream that has restarted unnoticed reads a deadline by its new clock, where it is far away, and shortens it to the longest lease. The allowance for the age had no bound either: after an hour without a task the loss of an upstream would be noticed 72 s late.

The longest lease on the slowest clock is an upper bound for any reading and any incarnation, and replaces the computation; reports of a busy upstream grant it anyway.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace Balsammill {
@@ -60,14 +59,6 @@
     return Duration(static_cast<Duration::rep>(real)) + expiryMargin + settings.stopGrace;
 }
 
-Duration UpstreamSession::longestOf(Duration length, Duration sinceReading)
-{
-    // The slowest clock has fallen behind its estimate since it was read, so it reaches the deadline later by that.
-    const auto ticks
-        = static_cast<double>(length.count()) + (1.0 - slowestClock) * static_cast<double>(sinceReading.count());
-    return Duration(static_cast<Duration::rep>(std::ceil(ticks / slowestClock)));
-}
-
 void UpstreamSession::close()
 {
     closed_ = true;
@@ -82,8 +73,9 @@
 
 Platform::UpstreamClock UpstreamSession::grant(TimePoint now, Duration length)
 {
-    const auto real = longestOf(length, now - clockReadAt_);
-    leaseOverAt_ = std::max(leaseOverAt_, now + real + expiryMargin + context_.settings.stopGrace);
+    // The clock may have been read long ago, or in an earlier incarnation, and the deadline be further away than it
+    // seems; only the upstream's own limit holds in any case.
+    leaseOverAt_ = std::max(leaseOverAt_, now + longestLease(context_.settings));
     expiryReported_ = false;
     return Platform::UpstreamClock(clockAt(now).value + wholeMs(length));
 }
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -28,8 +28,6 @@
 
     /// By then every lease that any owner has granted before is over, on the slowest clock.
     static Duration longestLease(const NodeSettings&);
-    /// The time that a lease of this length can last, granted by a reading of the upstream's clock of this age.
-    static Duration longestOf(Duration length, Duration sinceReading);
 
     void start(const Shards::StartTask&);
     void stop(const Shards::StopTask&);
