Cancel the submissions of the connection that closed, not of its entry

When one of two connections from the same entry closed, the owner cancelled all submissions of that entry, also those that had arrived on the newer connection. It sent no answer for these, so their clients waited until their timeouts.

Cause: a submission was attributed to the entry. It now belongs to the connection on which it arrived, because that is what the entry judges it by. Submissions that were taken over from an earlier owner have no known connection yet and are still attributed to their entry. shard.submitter_lost gives the reason of the cancellation.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -247,7 +247,7 @@
             respond({ .kind = OwnerAnswer::Kind::NotOwner });
             return;
         }
-        server->submit({ .peer = from.peer(), .number = submit.submission() }, decodeJob(submit.job()),
+        server->submit({ .peer = from.peer(), .number = submit.submission() }, from.id(), decodeJob(submit.job()),
             Duration(submit.age_us()), Duration(submit.patience_us()), submit.may_redirect(), respond);
     }
 
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -195,8 +195,8 @@
         ? Duration::zero()
         : std::max<Duration>(request.responseDeadline - now, std::chrono::milliseconds(1));
     if (target.local != nullptr) {
-        target.local->submit({ .peer = {}, .number = number.value }, submission.spec, age, timeout, !request.redirected,
-            [this, number](const OwnerAnswer& result) {
+        target.local->submit({ .peer = {}, .number = number.value }, LinkId(), submission.spec, age, timeout,
+            !request.redirected, [this, number](const OwnerAnswer& result) {
                 boost::asio::post(context_.loop, [this, number, result] { handleAnswer(number, result); });
             });
         return;
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -452,7 +452,7 @@
         // An entry sends submissions on the connection that it opened, and treats them as lost when that connection
         // closes.
         if (link.inbound())
-            server->cancelAllFrom(link.peer());
+            server->cancelAllFrom(link);
         if (server->predecessor() == link.peer() && !peers_.connectedTo(link.peer()))
             server->handlePredecessorGone();
     }
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -130,7 +130,7 @@
         auto origin = each.origin;
         if (origin.peer == self)
             origin.peer = PeerId();
-        const auto number = addSubmission(origin, each.job.key.job, each.job.spec->queue,
+        const auto number = addSubmission(origin, LinkId(), each.job.key.job, each.job.spec->queue,
             [this, origin](const OwnerAnswer& result) { handlers_.answer(origin, result); });
         engine_.importJob(number, each.job);
         engine_.expectRuns(each.job.key, each.job.expected, leasesExpireAt);
@@ -204,7 +204,7 @@
     runScheduler();
 }
 
-void ShardServer::submit(const Submitter& submitter, Shards::JobSpec spec, Duration age, Duration timeout,
+void ShardServer::submit(const Submitter& submitter, LinkId link, Shards::JobSpec spec, Duration age, Duration timeout,
     bool mayRedirect, OwnerAnswerCallback callback)
 {
     const auto now = monotonicNow();
@@ -255,17 +255,18 @@
                 { "forecast_ms", forecastMs(forecast, now) },
                 { "objective_ms", static_cast<std::int64_t>(toMs(forecast.objectiveAt - now)) } });
     context_.metrics.add("balsammill_accepted_total", queueLabel);
-    const auto number = addSubmission(submitter, spec.id, spec.queue, std::move(callback));
+    const auto number = addSubmission(submitter, link, spec.id, spec.queue, std::move(callback));
     engine_.submit(number, std::make_shared<const Shards::JobSpec>(std::move(spec)), now - age,
         timeout > Duration::zero() ? now + timeout : TimePoint::max());
     runScheduler();
 }
 
-Shards::SubmissionId ShardServer::addSubmission(
-    const Submitter& submitter, const JobId& job, const Shards::QueueName& queue, OwnerAnswerCallback callback)
+Shards::SubmissionId ShardServer::addSubmission(const Submitter& submitter, LinkId link, const JobId& job,
+    const Shards::QueueName& queue, OwnerAnswerCallback callback)
 {
     const Shards::SubmissionId number { ++lastSubmission_ };
     openSubmissions_[number] = { .submitter = submitter,
+        .link = link,
         .callback = std::move(callback),
         .job = job,
         .queue = queue.value,
@@ -330,17 +331,24 @@
     runScheduler();
 }
 
-void ShardServer::cancelAllFrom(const PeerId& peer)
+void ShardServer::cancelAllFrom(const PeerLink& link)
 {
     std::vector<Submitter> submitters;
-    for (const auto& [submitter, number] : bySubmitter_) {
-        if (submitter.peer == peer)
-            submitters.push_back(submitter);
+    for (const auto& [number, open] : openSubmissions_) {
+        // The connection of an inherited submission is not known.
+        const bool inherited = open.link == LinkId();
+        if (inherited ? open.submitter.peer == link.peer() : open.link == link.id())
+            submitters.push_back(open.submitter);
     }
+    cancelAll(submitters, link.peer(), "connection_closed");
+}
+
+void ShardServer::cancelAll(const std::vector<Submitter>& submitters, const PeerId& origin, std::string_view reason)
+{
     if (submitters.empty())
         return;
     context_.log.event("shard.submitter_lost",
-        { { "shard", name_.value }, { "epoch", epoch_.value }, { "peer", peer.vm.value },
+        { { "shard", name_.value }, { "epoch", epoch_.value }, { "peer", origin.vm.value }, { "reason", reason },
             { "jobs", std::uint64_t { submitters.size() } } });
     for (const auto& submitter : submitters)
         cancel(submitter);
@@ -358,8 +366,14 @@
     }
     disconnectDeadlines_ = std::move(deadlines);
     for (const auto& [peer, until] : disconnectDeadlines_) {
-        if (now >= until)
-            cancelAllFrom(peer);
+        if (now < until)
+            continue;
+        std::vector<Submitter> submitters;
+        for (const auto& [submitter, number] : bySubmitter_) {
+            if (submitter.peer == peer)
+                submitters.push_back(submitter);
+        }
+        cancelAll(submitters, peer, "not_connected");
     }
 }
 
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -54,10 +54,11 @@
     void removeUpstream(const Shards::UpstreamId&);
 
     /// age: time since the client's request arrived. timeout: remaining time for which the client waits; 0 if the
-    /// client has set none. The callback is called exactly once, unless the submission is cancelled or handed over, or
-    /// the server is destroyed.
-    void submit(
-        const Submitter&, Shards::JobSpec, Duration age, Duration timeout, bool mayRedirect, OwnerAnswerCallback);
+    /// client has set none. link: the connection on which the submission arrived; none if this process is its origin.
+    /// The callback is called exactly once, unless the submission is cancelled or handed over, or the server is
+    /// destroyed.
+    void submit(const Submitter&, LinkId link, Shards::JobSpec, Duration age, Duration timeout, bool mayRedirect,
+        OwnerAnswerCallback);
     void cancel(const Submitter&);
     /// Queries the state of a durable job, or cancels the job.
     void query(const JobId& id, OwnerAnswerCallback callback) { durable_.query(id, std::move(callback)); }
@@ -66,8 +67,8 @@
     void handleDurableJobsRecorded() { durable_.handleRecordUpdated(); }
     /// Sets the number of shards that share the store's write rate.
     void setShardCount(std::size_t count) { durable_.setShardCount(count); }
-    /// Cancels all submissions of an entry.
-    void cancelAllFrom(const PeerId&);
+    /// Cancels all submissions that arrived on a connection, because their entry treats them as lost once it closes.
+    void cancelAllFrom(const PeerLink&);
     /// Cancels the submissions of entries that have been disconnected for too long, such as an entry that is lost
     /// before it connects to the new owner of a shard.
     void cancelAbandoned(const std::function<bool(const PeerId&)>& isConnected, TimePoint now);
@@ -94,6 +95,8 @@
 private:
     struct OpenSubmission {
         Submitter submitter;
+        // Connection on which the submission arrived; none if this process is its origin.
+        LinkId link {};
         OwnerAnswerCallback callback;
         JobId job;
         std::string queue;
@@ -118,7 +121,9 @@
     /// True once it is known which runs of earlier owners have to continue on the upstreams.
     bool inheritedStateKnown() const;
     void handleFenced();
-    Shards::SubmissionId addSubmission(const Submitter&, const JobId&, const Shards::QueueName&, OwnerAnswerCallback);
+    Shards::SubmissionId addSubmission(
+        const Submitter&, LinkId, const JobId&, const Shards::QueueName&, OwnerAnswerCallback);
+    void cancelAll(const std::vector<Submitter>&, const PeerId& origin, std::string_view reason);
     UpstreamSession* session(const Shards::UpstreamId&);
     void openSession(const Shards::UpstreamInfo&);
 
