Let the engine know which clients are confirmed to wait

A best-effort job that its client has given up must neither start nor run on, because the client submits it again 1.3 s later, to any shard. The engine could not tell: it started a task whenever it was waiting, and leases were extended for whatever ran.

Each submission now has an origin, and the engine is told when an origin was last confirmed. It starts no task of an origin that was not confirmed for 0.8 s, and leaseLimit() is the time by which every lease on an upstream has to end: the confirmation plus the clients' resend delay, the earliest over all runs there. A run that was cancelled keeps the limit that it had, so the lease that other tasks need does not keep it alive when its stop has no effect. Origin 0, the default, needs no confirmation; durable jobs use it.

--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -52,6 +52,11 @@
         /// Maximum time that a stop takes to end a run. Until then the reports of the upstream list the run neither as
         /// running nor as ended.
         Duration stopGrace { std::chrono::milliseconds(50) };
+        /// Tasks of a submission are started for this time after its origin was last confirmed.
+        Duration confirmationTimeout { std::chrono::milliseconds(800) };
+        /// A client whose request is answered as in doubt, or whose connection breaks, submits its job again this long
+        /// afterwards, to any shard.
+        Duration clientResendDelay { std::chrono::milliseconds(1300) };
     };
 
     ShardEngine();
@@ -93,10 +98,25 @@
     JobForecast forecast(const JobSpec&, TimePoint arrivedAt, TimePoint now) const;
     /// Accepts a job. If a job with this id is unfinished, the submission replaces the earlier one.
     /// arrivedAt: when the client's request arrived. responseDeadline: when the client stops waiting.
-    void submit(SubmissionId, std::shared_ptr<const JobSpec>, TimePoint arrivedAt, TimePoint responseDeadline);
+    void submit(SubmissionId, std::shared_ptr<const JobSpec>, TimePoint arrivedAt, TimePoint responseDeadline,
+        OriginId origin = {});
     /// The client has cancelled its request: waiting tasks are dropped and running ones are stopped.
     void cancel(SubmissionId, TimePoint now);
 
+    // Origins. Only time separates an attempt that a client has given up from the next one, which may be placed in
+    // another shard. So tasks are started only for origins that were confirmed recently, and a run must end before a
+    // client that gave up right after the last confirmation can have submitted its job again.
+
+    /// The clients of this origin certainly still waited at this time.
+    void confirmOrigin(OriginId, TimePoint confirmedAt);
+    /// The origin of a submission has become known. Until it is confirmed, no task of an origin is started.
+    void setOrigin(SubmissionId, OriginId);
+    /// The origin is lost. Its submissions have to be cancelled before.
+    void forgetOrigin(OriginId);
+    /// Time by which every lease granted on the upstream has to expire, so that no run outlives its client's request;
+    /// TimePoint::max() if there is no such bound.
+    TimePoint leaseLimit(const UpstreamId&) const;
+
     // Durable jobs. They are not dropped when they are late, and the end of a task is acknowledged to its upstream only
     // after handleRecorded().
 
@@ -127,7 +147,7 @@
     /// Adds the earlier owner's progress of a durable job that is not in the store yet.
     void mergeProgress(const OccurrenceKey&, const JobProgress&, TimePoint now);
     /// Continues a job that is not durable, under a submission id of this owner.
-    void importJob(SubmissionId, const TransferredJob&);
+    void importJob(SubmissionId, const TransferredJob&, OriginId origin = {});
     /// Delays the listed tasks of a job until their upstreams have reported, at most until the given time.
     void expectRuns(const OccurrenceKey&, const std::vector<ExpectedRun>&, TimePoint until);
     const RunTimeModel::Learned& learned() const { return model_.learned(); }
@@ -167,6 +187,10 @@
     const Job* findJob(const OccurrenceKey&) const;
     Job& addJob(const OccurrenceKey&, std::shared_ptr<const JobSpec>, TimePoint arrivedAt);
     void stopRuns(const OccurrenceKey&, TimePoint now);
+    bool isOriginConfirmed(const Job&, TimePoint now) const;
+    void setOrigin(Job&, OriginId);
+    TimePoint latestEndFor(OriginId) const;
+    TimePoint latestEndOf(const Run&) const;
     void stopOtherRuns(const TaskKey&, TimePoint now);
     bool adoptRun(Upstream&, const RunningTask&, TimePoint now);
     static JobProgress progressOf(const Job&);
@@ -217,6 +241,8 @@
     std::map<UpstreamId, Upstream> upstreams_;
     std::unordered_map<OccurrenceKey, std::unique_ptr<Job>> jobs_;
     std::unordered_map<SubmissionId, OccurrenceKey> submissions_;
+    // When each origin was last confirmed. An origin without an entry was never confirmed.
+    std::unordered_map<OriginId, TimePoint> originConfirmedAt_;
     // Number of runs by task over all upstreams, including runs of jobs that have finished.
     std::unordered_map<TaskKey, std::uint32_t> liveRuns_;
     struct RecentJob {
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -70,8 +70,8 @@
     return added;
 }
 
-void ShardEngine::submit(
-    SubmissionId submission, std::shared_ptr<const JobSpec> spec, TimePoint arrivedAt, TimePoint responseDeadline)
+void ShardEngine::submit(SubmissionId submission, std::shared_ptr<const JobSpec> spec, TimePoint arrivedAt,
+    TimePoint responseDeadline, OriginId origin)
 {
     const OccurrenceKey key { .job = spec->id };
     if (auto* existing = findJob(key)) {
@@ -81,10 +81,12 @@
         existing->submission = submission;
         existing->responseDeadline = responseDeadline;
         submissions_[submission] = key;
+        setOrigin(*existing, origin);
         return;
     }
     auto& job = addJob(key, std::move(spec), arrivedAt);
     job.submission = submission;
+    job.origin = origin;
     job.responseDeadline = responseDeadline;
     submissions_[submission] = key;
 }
@@ -99,6 +101,12 @@
     const auto* job = findJob(key);
     if (job == nullptr)
         return;
+    for (auto& [id, upstream] : upstreams_) {
+        for (auto& [task, run] : upstream.runs) {
+            if (run.job == key)
+                run.endBy = latestEndOf(run);
+        }
+    }
     stopRuns(key, now);
     recentJobs_[key] = { .highestRun = job->highestRun, .forgetAt = now + recentJobRetention };
     jobs_.erase(key);
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -21,6 +21,10 @@
     // Job that needs the run; empty if the run is not needed or is being cancelled.
     OccurrenceKey job {};
     UpstreamId upstream {};
+    // Origin of the job; kept when the run is not needed any more.
+    OriginId origin {};
+    // Latest permitted end of a run whose origin is lost or has cancelled it; unset while the origin determines it.
+    std::optional<TimePoint> endBy {};
     Resources need {};
     // Started by an earlier owner; the capacity that it uses is unknown.
     bool startedByEarlierOwner { false };
@@ -124,6 +128,7 @@
 struct ShardEngine::Job {
     OccurrenceKey key;
     SubmissionId submission;
+    OriginId origin;
     std::shared_ptr<const JobSpec> spec;
     std::vector<Step> steps;
     TimePoint submittedAt {};
--- /dev/null
+++ b/libs/shards/src/ShardEngineOrigins.cpp
@@ -0,0 +1,75 @@
+#include "ShardEngineDetail.h"
+
+#include <algorithm>
+
+namespace Balsammill::Shards {
+
+void ShardEngine::confirmOrigin(OriginId origin, TimePoint confirmedAt)
+{
+    const auto [entry, added] = originConfirmedAt_.try_emplace(origin, confirmedAt);
+    if (!added)
+        entry->second = std::max(entry->second, confirmedAt);
+}
+
+void ShardEngine::setOrigin(SubmissionId submission, OriginId origin)
+{
+    const auto found = submissions_.find(submission);
+    if (found == submissions_.end())
+        return;
+    if (auto* job = findJob(found->second))
+        setOrigin(*job, origin);
+}
+
+void ShardEngine::setOrigin(Job& job, OriginId origin)
+{
+    job.origin = origin;
+    for (auto& [id, upstream] : upstreams_) {
+        for (auto& [task, run] : upstream.runs) {
+            if (run.job == job.key)
+                run.origin = origin;
+        }
+    }
+}
+
+void ShardEngine::forgetOrigin(OriginId origin)
+{
+    for (auto& [id, upstream] : upstreams_) {
+        for (auto& [task, run] : upstream.runs) {
+            if (run.origin == origin)
+                run.endBy = latestEndOf(run);
+        }
+    }
+    originConfirmedAt_.erase(origin);
+}
+
+bool ShardEngine::isOriginConfirmed(const Job& job, TimePoint now) const
+{
+    if (job.origin == OriginId())
+        return true;
+    const auto confirmed = originConfirmedAt_.find(job.origin);
+    return confirmed != originConfirmedAt_.end() && now <= confirmed->second + options_.confirmationTimeout;
+}
+
+TimePoint ShardEngine::latestEndFor(OriginId origin) const
+{
+    if (origin == OriginId())
+        return TimePoint::max();
+    const auto confirmed = originConfirmedAt_.find(origin);
+    return confirmed == originConfirmedAt_.end() ? TimePoint::min() : confirmed->second + options_.clientResendDelay;
+}
+
+TimePoint ShardEngine::latestEndOf(const Run& run) const { return run.endBy.value_or(latestEndFor(run.origin)); }
+
+TimePoint ShardEngine::leaseLimit(const UpstreamId& id) const
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return TimePoint::max();
+    // A lease applies to everything that runs on the upstream.
+    auto limit = TimePoint::max();
+    for (const auto& [task, run] : found->second.runs)
+        limit = std::min(limit, latestEndOf(run));
+    return limit;
+}
+
+} // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -93,12 +93,13 @@
         finishJob(*job, JobResult::Failed, now);
 }
 
-void ShardEngine::importJob(SubmissionId submission, const TransferredJob& transferred)
+void ShardEngine::importJob(SubmissionId submission, const TransferredJob& transferred, OriginId origin)
 {
     if (transferred.spec == nullptr || findJob(transferred.key) != nullptr)
         return;
     auto& job = addJob(transferred.key, transferred.spec, transferred.submittedAt);
     job.submission = submission;
+    job.origin = origin;
     job.responseDeadline = transferred.responseDeadline;
     submissions_[submission] = transferred.key;
     applyProgress(job, transferred.progress);
@@ -190,6 +191,7 @@
         Run { .number = running.run,
             .job = job->key,
             .upstream = upstream.info.id,
+            .origin = job->origin,
             .need = need,
             .startUnknown = !startKnown,
             .listed = true,
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -152,6 +152,7 @@
         Run { .number = number,
             .job = job.key,
             .upstream = upstream.info.id,
+            .origin = job.origin,
             .need = spec.need,
             .state = RunState::StartSent,
             .startSentAt = now,
@@ -265,7 +266,7 @@
         bool waits = false;
         for (std::uint32_t i = 0; i < job->steps.size(); ++i)
             waits = waits || stepIsReady(*job, i);
-        if (!waits || (job->inherited && now < inheritedDelayedUntil_))
+        if (!waits || (job->inherited && now < inheritedDelayedUntil_) || !isOriginConfirmed(*job, now))
             continue;
         // A long-running task is due from the moment its job was submitted.
         const bool runsIndefinitely = job->spec->longRunning;
