Give no lease to an upstream while a stop there has no effect

A run that its client had given up could go on after the client's next attempt had started in another shard, and so be the second run of a task.

Cause: a lease applies to everything that runs on an upstream. The owner withheld extensions 300 ms after a stop without effect, but went on starting other tasks there, and each start extended the lease by 600 ms. For runs that a lost owner had left behind it granted full leases during those 300 ms, for durable jobs adopted on the same upstream.

An upstream is now used for starts only if extending its lease cannot keep such a run alive: no stop is overdue, no inherited run waits for its confirmation, and the limit of every run leaves at least 300 ms. The limit of a run that an earlier owner started is the time at which it is found, so nothing extends it.

Evidence: two cases of OriginTests.cpp.

--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -8,6 +8,9 @@
 
 // Tasks rarely fail on a healthy upstream, and almost never two in a row.
 inline constexpr std::uint32_t failuresBeforeSuspicion = 2;
+// If a stop has no effect within this time, the upstream's lease is no longer extended; its expiry ends the run in any
+// case.
+inline constexpr Duration stopTimeout = std::chrono::milliseconds(300);
 
 enum class RunState {
     /// The start was sent and has not been answered.
@@ -25,6 +28,8 @@
     OriginId origin {};
     // Latest permitted end of a run whose origin is lost or has cancelled it; unset while the origin determines it.
     std::optional<TimePoint> endBy {};
+    // Adopted for an inherited submission that its origin has not confirmed yet.
+    bool awaitsConfirmation { false };
     Resources need {};
     // Started by an earlier owner; the capacity that it uses is unknown.
     bool startedByEarlierOwner { false };
@@ -71,6 +76,9 @@
     // After a suspicion period the upstream gets one task at a time until one succeeds.
     bool onProbation { false };
 
+    // True if a start may extend the lease of everything that runs on the upstream.
+    bool mayExtendLease(TimePoint now) const;
+
     // False if the current incarnation has sent a report but has not registered yet: its capacity and labels may differ
     // from those in info.
     bool hasCurrentRegistration() const
--- a/libs/shards/src/ShardEngineOrigins.cpp
+++ b/libs/shards/src/ShardEngineOrigins.cpp
@@ -4,11 +4,24 @@
 
 namespace Balsammill::Shards {
 
+namespace {
+
+// A task whose lease is shorter would lapse before a report can extend it.
+constexpr Duration minStartLease = std::chrono::milliseconds(300);
+
+} // namespace
+
 void ShardEngine::confirmOrigin(OriginId origin, TimePoint confirmedAt)
 {
     const auto [entry, added] = originConfirmedAt_.try_emplace(origin, confirmedAt);
-    if (!added)
+    if (!added) {
         entry->second = std::max(entry->second, confirmedAt);
+        return;
+    }
+    for (auto& [id, upstream] : upstreams_) {
+        for (auto& [task, run] : upstream.runs)
+            run.awaitsConfirmation = run.awaitsConfirmation && run.origin != origin;
+    }
 }
 
 void ShardEngine::setOrigin(SubmissionId submission, OriginId origin)
@@ -25,8 +38,10 @@
     job.origin = origin;
     for (auto& [id, upstream] : upstreams_) {
         for (auto& [task, run] : upstream.runs) {
-            if (run.job == job.key)
-                run.origin = origin;
+            if (run.job != job.key)
+                continue;
+            run.origin = origin;
+            run.awaitsConfirmation = latestEndFor(origin) == TimePoint::min();
         }
     }
 }
@@ -60,6 +75,15 @@
 
 TimePoint ShardEngine::latestEndOf(const Run& run) const { return run.endBy.value_or(latestEndFor(run.origin)); }
 
+bool ShardEngine::Upstream::mayExtendLease(TimePoint now) const
+{
+    return std::none_of(runs.begin(), runs.end(), [now](const auto& entry) {
+        const auto& run = entry.second;
+        const bool stopOverdue = run.state == RunState::Stopping && run.stopSentAt + stopTimeout <= now;
+        return stopOverdue || run.awaitsConfirmation || run.endBy.value_or(TimePoint::max()) < now + minStartLease;
+    });
+}
+
 TimePoint ShardEngine::leaseLimit(const UpstreamId& id) const
 {
     const auto found = upstreams_.find(id);
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -192,6 +192,7 @@
             .job = job->key,
             .upstream = upstream.info.id,
             .origin = job->origin,
+            .awaitsConfirmation = latestEndFor(job->origin) == TimePoint::min(),
             .need = need,
             .startUnknown = !startKnown,
             .listed = true,
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -17,8 +17,6 @@
 constexpr double overdueFactorBySiblings = 2.0;
 constexpr double overdueFactorByModel = 3.0;
 constexpr Duration overdueMargin = std::chrono::milliseconds(60);
-// If a stop has no effect within this time, the lease is no longer extended; its expiry ends the run in any case.
-constexpr Duration stopTimeout = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -106,6 +104,7 @@
             ++upstream.earlierOwnerRuns;
             upstream.runs.emplace(running.task,
                 Run { .number = running.run,
+                    .endBy = now,
                     .startedByEarlierOwner = true,
                     .listed = true,
                     .state = RunState::Stopping,
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -57,7 +57,7 @@
 {
     return upstream.registered && upstream.hasCurrentRegistration() && upstream.confirmed
         && upstream.earlierOwnerRuns == 0 && upstream.reachable && !upstream.info.draining
-        && now >= upstream.suspectedUntil;
+        && upstream.mayExtendLease(now) && now >= upstream.suspectedUntil;
 }
 
 bool ShardEngine::canHold(const Upstream& upstream, const JobSpec& job, const StepSpec& step) const
--- a/libs/shards/tests/OriginTests.cpp
+++ b/libs/shards/tests/OriginTests.cpp
@@ -90,6 +90,36 @@
     CHECK_EQ(fixture.engine.leaseLimit(UpstreamId("u1")), at(1700));
 }
 
+TEST_CASE("An upstream on which a stop has no effect gets no task that would extend its lease")
+{
+    OriginFixture fixture;
+    fixture.engine.confirmOrigin(origin, at(0));
+    const auto start = fixture.startFrom(origin, 0);
+    fixture.engine.cancel(SubmissionId(1), at(100));
+    fixture.engine.confirmOrigin(otherOrigin, at(400));
+    fixture.submitFrom(otherOrigin, 400, "00000000000000b2");
+    CHECK(fixture.scheduleAndTake<StartTask>(400).empty());
+    fixture.reportEnd(start, 1, RunEnd::Stopped, 450);
+    CHECK_EQ(fixture.scheduleAndTake<StartTask>(450).size(), 1);
+}
+
+TEST_CASE("The lease for an adopted run does not extend a run of the lost owner that is being stopped")
+{
+    OriginFixture former;
+    former.engine.confirmOrigin(origin, at(0));
+    const auto start = former.startFrom(origin, 0);
+    OriginFixture next;
+    next.engine.handleReport(UpstreamId("u1"),
+        { .startedUnixMs = 1000,
+            .running = { { .task = start.task, .run = start.run, .checkpoint = {} } },
+            .ended = {} },
+        at(100), at(100));
+    CHECK_EQ(next.takeActionsOf<StopTask>().size(), 1);
+    CHECK_LE(next.engine.leaseLimit(UpstreamId("u1")), at(100));
+    next.reportEnd(start, 1, RunEnd::Stopped, 160);
+    CHECK_EQ(next.engine.leaseLimit(UpstreamId("u1")), TimePoint::max());
+}
+
 TEST_CASE("A job that comes again from another origin is bound to the new origin")
 {
     OriginFixture fixture;
