Count on an upstream in forecasts while its lease may not be extended

During a planned change of owner a job could be refused for lack of room although the upstream had room. Cause: the condition that withholds starts from an upstream whose lease may not be extended was part of isUsable(), which forecasts use too, and it holds for the some ms until an inherited submission is confirmed. Only placement uses it now.

Evidence: "During a graceful stop the next owner uses capacity beside tasks that still run" failed once in a run of all tests beside builds (the second job was answered "no room"); the forecast is now a check in OriginTests.cpp.

--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -57,7 +57,7 @@
 {
     return upstream.registered && upstream.hasCurrentRegistration() && upstream.confirmed
         && upstream.earlierOwnerRuns == 0 && upstream.reachable && !upstream.info.draining
-        && upstream.mayExtendLease(now) && now >= upstream.suspectedUntil;
+        && now >= upstream.suspectedUntil;
 }
 
 bool ShardEngine::canHold(const Upstream& upstream, const JobSpec& job, const StepSpec& step) const
@@ -101,6 +101,9 @@
         if (!isUsable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
             || !step.need.fitsIn(upstream.freeCapacity))
             continue;
+        // This lasts until a confirmation or the end of a run arrives, so forecasts count on the upstream.
+        if (!upstream.mayExtendLease(now))
+            continue;
         if (job.spec->advice && job.steps[stepIndex].permits.ticketFor(upstream.info, now) == nullptr)
             continue;
         if (upstream.onProbation && !upstream.runs.empty())
--- a/libs/shards/tests/OriginTests.cpp
+++ b/libs/shards/tests/OriginTests.cpp
@@ -148,6 +148,7 @@
         at(100), at(100));
     CHECK_EQ(next.takeActionsOf<TaskAdopted>().size(), 1);
     CHECK_EQ(next.engine.leaseLimit(UpstreamId("u1")), TimePoint::min());
+    CHECK(next.engine.forecast(makeSpec({ .id = "00000000000000b2" }), at(100), at(100)).meetsObjective());
     next.reportEnd(start, 1, RunEnd::LeaseExpired, 200);
     CHECK(next.scheduleAndTake<StartTask>(200).empty());
     next.engine.setOrigin(SubmissionId(1), origin);
