Handle confirmations that are late, repeated or not needed any more

The wait is 0.3 s now, so the run is stopped before the former owner's leases end; - a session that had granted no lease never reported the expiry of inherited runs, so their task was blocked for good. It counts from the first report; - the next owner kept its own client's request bound to the connection to the former owner, and ran the job on after that request was answered in doubt; - a job that was submitted again before the handover arrived left an inherited submission without an answer; it is answered in doubt; - requests waited without a limit while the process was not settled; they are refused when their wait for an owner is over; - cancelling the submissions of a closed connection started other jobs of the same connection in between; the engine forgets the origin first; - a status could confirm clients whose ends of connection were not read yet after a stall; it is sent only once the process is settled; - an answer could go to an older, silent connection; the newest is taken; - entries of finished submissions stayed in the list of unconfirmed ones, and a notice for another shard cancelled a live submission.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -368,6 +368,10 @@
         const bool owner = !ownership.ownsNothing();
         if (!immediately && now - statusAt < (owner ? ownerStatusInterval : heartbeatInterval))
             return;
+        // A status confirms that the clients of this process still wait, so the ends of their connections have to be
+        // read first.
+        if (!context.stall.isSettled(now))
+            return;
         statusAt = now;
         balsammill::internal::ShardPeerMessage message;
         auto* status = message.mutable_status();
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -130,15 +130,12 @@
         dispatchToHomeShard(number);
         return;
     }
-    if (!context_.stall.isSettled(monotonicNow())) {
-        // The client may have closed the connection while this process stood still.
-        waitForOwner(request, monotonicNow());
-        return;
-    }
+    // The client may have closed the connection while this process was not running.
+    const bool maySubmit = context_.stall.isSettled(monotonicNow());
     std::optional<Target> target;
-    if (!request.shard.empty())
+    if (maySubmit && !request.shard.empty())
         target = findTarget(request.shard);
-    if (!target && request.attempts < maxAttempts)
+    if (maySubmit && !target && request.attempts < maxAttempts)
         target = chooseTarget(request);
     if (!target && monotonicNow() < request.ownerWaitDeadline) {
         // An owner usually becomes reachable within some tens of milliseconds after an owner is lost or this process
@@ -270,12 +267,12 @@
 void JobClient::handleMoved(RequestNumber number, const Shards::ShardName& shard, const ShardLocation& owner)
 {
     const auto found = requests_.find(number);
-    if (found == requests_.end() || found->second.shard != shard) {
+    if (found == requests_.end()) {
         cancelAt(owner.address, number);
         return;
     }
     auto& request = found->second;
-    if (owner.epoch < request.ownerEpoch)
+    if (request.shard != shard || owner.epoch < request.ownerEpoch)
         return;
     const auto now = monotonicNow();
     const bool alreadyConnecting = request.newOwnerAddress == owner.address;
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -210,11 +210,12 @@
 
 std::shared_ptr<PeerLink> PeerNetwork::linkOf(const PeerId& peer) const
 {
+    std::shared_ptr<PeerLink> newest;
     for (const auto& link : openLinks()) {
-        if (link->peer() == peer)
-            return link;
+        if (link->peer() == peer && (!newest || link->id() > newest->id()))
+            newest = link;
     }
-    return nullptr;
+    return newest;
 }
 
 void PeerNetwork::sendToAll(const balsammill::internal::ShardPeerMessage& message)
--- a/libs/node/src/peers/PeerNetwork.h
+++ b/libs/node/src/peers/PeerNetwork.h
@@ -44,7 +44,8 @@
     void advance(TimePoint now);
     /// Open connections to the entries of a failure domain that are not shutting down, one for each entry.
     std::vector<std::shared_ptr<PeerLink>> peersIn(const FailureDomain&) const;
-    /// An open connection to or from this process run; null if there is none.
+    /// The newest open connection to or from this process run, as an older one may have gone silent; null if there is
+    /// none.
     std::shared_ptr<PeerLink> linkOf(const PeerId&) const;
     bool connectedTo(const PeerId& peer) const { return linkOf(peer) != nullptr; }
     void sendToAll(const balsammill::internal::ShardPeerMessage&);
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -12,8 +12,12 @@
 // Time for reading the registrations and the first reports, and for stopping runs left by an earlier owner.
 constexpr Duration startupPeriod = std::chrono::milliseconds(250);
 
-// Same as the time for which an entry waits for a connection to the new owner before it answers that a job is in doubt.
+// Tasks of a submission are started for this time after its connection was last confirmed.
 constexpr Duration confirmationTimeout = std::chrono::milliseconds(800);
+// Time for the confirmation of an inherited submission: several times what its entry needs to connect and answer.
+// Meanwhile no lease is extended on the upstreams that run its tasks, so it has to end, with the stop that follows,
+// before the leases that the former owner granted.
+constexpr Duration inheritedConfirmationTimeout = std::chrono::milliseconds(300);
 // Origin of inherited submissions until they are confirmed. It is never confirmed itself.
 constexpr Shards::OriginId unconfirmedOrigin { std::numeric_limits<std::uint64_t>::max() };
 
@@ -160,11 +164,17 @@
         origin.peer = PeerId();
     const auto number = addSubmission(origin, nullptr, inherited.job.key.job, inherited.job.spec->queue,
         [this, origin](const OwnerAnswer& result) { handlers_.answer(origin, result); });
-    engine_.importJob(number, inherited.job, local ? localOrigin : unconfirmedOrigin);
-    if (local)
+    if (!engine_.importJob(number, inherited.job, local ? localOrigin : unconfirmedOrigin)) {
+        // The client has already submitted the job again, to this owner.
+        openSubmissions_.erase(number);
+        bySubmitter_.erase(origin);
+        handlers_.answer(origin, { .kind = OwnerAnswer::Kind::InDoubt });
         return;
-    unconfirmed_[origin] = monotonicNow() + confirmationTimeout;
-    handlers_.requestConfirmation(origin);
+    }
+    if (!local)
+        unconfirmed_[origin] = monotonicNow() + inheritedConfirmationTimeout;
+    // A local request must not be judged by the connection to the former owner any more.
+    handlers_.requestConfirmation(local ? inherited.origin : origin);
 }
 
 bool ShardServer::confirm(const Submitter& submitter, const PeerLink& link)
@@ -187,7 +197,7 @@
             handlers_.requestConfirmation(submitter);
             continue;
         }
-        cancelAll({ submitter }, submitter.peer, "not_confirmed");
+        removeAll({ submitter }, submitter.peer, "not_confirmed");
         handlers_.answer(submitter, { .kind = OwnerAnswer::Kind::InDoubt });
     }
 }
@@ -384,12 +394,18 @@
 
 void ShardServer::cancel(const Submitter& submitter)
 {
+    removeSubmission(submitter);
+    runScheduler();
+}
+
+void ShardServer::removeSubmission(const Submitter& submitter)
+{
+    unconfirmed_.erase(submitter);
     const auto found = bySubmitter_.find(submitter);
     if (found == bySubmitter_.end())
         return;
     const auto number = found->second;
     bySubmitter_.erase(found);
-    unconfirmed_.erase(submitter);
     context_.metrics.add("balsammill_cancelled_total");
     if (const auto open = openSubmissions_.find(number); open != openSubmissions_.end()) {
         if (context_.log.isSampled(open->second.job.value))
@@ -397,7 +413,6 @@
         openSubmissions_.erase(open);
     }
     engine_.cancel(number, monotonicNow());
-    runScheduler();
 }
 
 void ShardServer::cancelAllFrom(const PeerLink& link)
@@ -407,12 +422,14 @@
         if (open.link == link.id())
             submitters.push_back(open.submitter);
     }
-    cancelAll(submitters, link.peer(), "connection_closed");
+    removeAll(submitters, link.peer(), "connection_closed");
     if (originLinks_.erase(link.id()) > 0)
         engine_.forgetOrigin(originOf(link.id()));
+    if (!submitters.empty())
+        runScheduler();
 }
 
-void ShardServer::cancelAll(const std::vector<Submitter>& submitters, const PeerId& origin, std::string_view reason)
+void ShardServer::removeAll(const std::vector<Submitter>& submitters, const PeerId& origin, std::string_view reason)
 {
     if (submitters.empty())
         return;
@@ -420,7 +437,7 @@
         { { "shard", name_.value }, { "epoch", epoch_.value }, { "peer", origin.vm.value }, { "reason", reason },
             { "jobs", std::uint64_t { submitters.size() } } });
     for (const auto& submitter : submitters)
-        cancel(submitter);
+        removeSubmission(submitter);
 }
 
 void ShardServer::abandon()
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -130,7 +130,9 @@
     Shards::OriginId addOrigin(const PeerLink&);
     /// Passes on when each connection with submissions was last confirmed.
     void confirmOrigins();
-    void cancelAll(const std::vector<Submitter>&, const PeerId& origin, std::string_view reason);
+    /// Cancels a submission in the engine; the caller runs the scheduler afterwards.
+    void removeSubmission(const Submitter&);
+    void removeAll(const std::vector<Submitter>&, const PeerId& origin, std::string_view reason);
     void adoptSubmission(const HandOver::Job&);
     /// Asks for confirmations of inherited submissions again, and cancels those that got none in time.
     void checkUnconfirmed(TimePoint now);
--- a/libs/node/src/serving/ShardServerActions.cpp
+++ b/libs/node/src/serving/ShardServerActions.cpp
@@ -56,6 +56,7 @@
     auto entry = std::move(found->second);
     openSubmissions_.erase(found);
     bySubmitter_.erase(entry.submitter);
+    unconfirmed_.erase(entry.submitter);
     const auto now = monotonicNow();
     const auto queueLabel = "queue=\"" + entry.queue + "\"";
     context_.metrics.add("balsammill_finished_total", queueLabel + ",result=\"" + nameOf(finished.result) + "\"");
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -364,6 +364,11 @@
         // A long-polled report is complete at the time of its answer, so it is conclusive for all runs confirmed before
         // the request was sent.
         engine_.handleReport(id_, report, sentAt, now);
+        // Runs of an earlier owner end with the leases that it granted, also if this owner never grants one.
+        if (leaseExpiresAt_ == TimePoint {} && engine_.isBusy(id_)) {
+            leaseExpiresAt_ = now + maxLeaseLifetime(context_.settings);
+            expiryReported_ = false;
+        }
     } catch (const Platform::FormatError& error) {
         context_.log.event("upstream.bad_answer", { { "upstream", id_.value }, { "reason", error.what() } });
         handleReportFailure(now, error.what());
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -146,8 +146,9 @@
     void confirmOnFirstReport(const UpstreamId& id) { confirmedByFirstReport_.insert(id); }
     /// Adds the earlier owner's progress of a durable job that is not in the store yet.
     void mergeProgress(const OccurrenceKey&, const JobProgress&, TimePoint now);
-    /// Continues a job that is not durable, under a submission id of this owner.
-    void importJob(SubmissionId, const TransferredJob&, OriginId origin = {});
+    /// Continues a job that is not durable, under a submission id of this owner. Returns false if the job has been
+    /// submitted to this owner meanwhile, or cannot be continued.
+    bool importJob(SubmissionId, const TransferredJob&, OriginId origin = {});
     /// Delays the listed tasks of a job until their upstreams have reported, at most until the given time.
     void expectRuns(const OccurrenceKey&, const std::vector<ExpectedRun>&, TimePoint until);
     const RunTimeModel::Learned& learned() const { return model_.learned(); }
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -93,10 +93,10 @@
         finishJob(*job, JobResult::Failed, now);
 }
 
-void ShardEngine::importJob(SubmissionId submission, const TransferredJob& transferred, OriginId origin)
+bool ShardEngine::importJob(SubmissionId submission, const TransferredJob& transferred, OriginId origin)
 {
     if (transferred.spec == nullptr || findJob(transferred.key) != nullptr)
-        return;
+        return false;
     auto& job = addJob(transferred.key, transferred.spec, transferred.submittedAt);
     job.submission = submission;
     job.origin = origin;
@@ -104,6 +104,7 @@
     submissions_[submission] = transferred.key;
     applyProgress(job, transferred.progress);
     job.runFloor = job.highestRun;
+    return true;
 }
 
 void ShardEngine::applyProgress(Job& job, const JobProgress& progress)
