Start no task under a lease that may outlast its client's request

An entry went silent, and up to 0.8 s later the owner started a waiting task of it on an upstream that held a full lease for others. The stop had no effect, and the run lived up to 0.5 s beyond the time at which the client had submitted its job again.

Cause: the limit bounded new grants only, but a lease that was granted before never gets shorter and applies to runs that start later. The session now reports the longest time that each lease can last, by the age of its reading of the clock and 2 %, and the engine places a task only where that is within the limit of its origin. A new owner assumes the longest lease until it has read the first report.

--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Balsammill {
 
@@ -432,6 +433,17 @@
     }
 }
 
+void JobClient::confirmSubmissions()
+{
+    std::set<std::shared_ptr<PeerLink>> links;
+    for (const auto& [number, request] : requests_) {
+        if (const auto link = request.link.lock(); link && !hasHomeShard(request))
+            links.insert(link);
+    }
+    for (const auto& link : links)
+        link->send({});
+}
+
 std::optional<std::uint32_t> JobClient::waitingJobs(const Shards::QueueName& queue) const
 {
     return directory_.waitingJobs(queue, monotonicNow());
--- a/libs/node/src/clients/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -65,6 +65,9 @@
     void abandonAll();
     /// Keeps connections to the owners of all shards open, and retries or times out waiting requests.
     void advance(TimePoint now);
+    /// Sends a message without content on each connection with an open submission, which confirms to the owner that the
+    /// clients still wait.
+    void confirmSubmissions();
     /// True if the owner of at least one shard can be reached.
     bool canServe() const;
     std::size_t openRequests() const { return requests_.size(); }
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -92,12 +92,21 @@
     return std::min(wanted, Duration(static_cast<Duration::rep>(onSlowestClock)));
 }
 
+Duration UpstreamSession::longestLease(TimePoint now, Duration granted) const
+{
+    const auto byEstimate
+        = static_cast<double>(granted.count()) + (1 - minClockRate) * static_cast<double>((now - clockReadAt_).count());
+    const auto onUpstream = std::min(byEstimate, static_cast<double>(context_.settings.maxLease.count()));
+    return Duration(static_cast<Duration::rep>(onUpstream / minClockRate));
+}
+
 Platform::UpstreamClock UpstreamSession::grantLease(TimePoint now, Duration length)
 {
     // The upstream's clock may have been read long ago or in an earlier incarnation, so the granted deadline may be
     // later than estimated. Only the maximum lease, which the upstream itself enforces, is a safe bound.
     leaseExpiresAt_ = std::max(leaseExpiresAt_, now + maxLeaseLifetime(context_.settings));
     expiryReported_ = false;
+    engine_.noteLease(id_, now + longestLease(now, length));
     return Platform::UpstreamClock(clockAt(now).value + wholeMs(length));
 }
 
@@ -365,9 +374,10 @@
         // the request was sent.
         engine_.handleReport(id_, report, sentAt, now);
         // Runs of an earlier owner end with the leases that it granted, also if this owner never grants one.
-        if (leaseExpiresAt_ == TimePoint {} && engine_.isBusy(id_)) {
+        if (leaseExpiresAt_ == TimePoint {}) {
             leaseExpiresAt_ = now + maxLeaseLifetime(context_.settings);
             expiryReported_ = false;
+            engine_.noteLease(id_, now + longestLease(now, context_.settings.maxLease));
         }
     } catch (const Platform::FormatError& error) {
         context_.log.event("upstream.bad_answer", { { "upstream", id_.value }, { "reason", error.what() } });
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -63,6 +63,8 @@
     /// Longest lease that may be granted now without letting a run outlive its client's request; zero or less if none
     /// may be.
     Duration permittedLease(TimePoint now, Duration wanted) const;
+    /// Longest time that a lease granted now can last, given the age of the last reading of the upstream's clock.
+    Duration longestLease(TimePoint now, Duration granted) const;
     Platform::UpstreamClock grantLease(TimePoint now, Duration length);
     bool leaseExpired(TimePoint now) const { return now >= leaseExpiresAt_; }
 
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -113,6 +113,9 @@
     void setOrigin(SubmissionId, OriginId);
     /// The origin is lost. Its submissions have to be cancelled before.
     void forgetOrigin(OriginId);
+    /// A lease was granted on the upstream that ends by this time. A lease never gets shorter and also applies to runs
+    /// that start later.
+    void noteLease(const UpstreamId&, TimePoint endsBy);
     /// Time by which every lease granted on the upstream has to expire, so that no run outlives its client's request;
     /// TimePoint::max() if there is no such bound.
     TimePoint leaseLimit(const UpstreamId&) const;
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -68,6 +68,8 @@
     bool reachable { true };
     // When the first report under the owner's fencing token arrived.
     TimePoint firstReportAt {};
+    // Time by which all leases granted so far have ended.
+    TimePoint leaseEndsBy {};
     // The owner knows all runs on the upstream.
     bool confirmed { false };
     std::uint32_t consecutiveFailures { 0 };
--- a/libs/shards/src/ShardEngineOrigins.cpp
+++ b/libs/shards/src/ShardEngineOrigins.cpp
@@ -84,6 +84,12 @@
     });
 }
 
+void ShardEngine::noteLease(const UpstreamId& id, TimePoint endsBy)
+{
+    if (const auto found = upstreams_.find(id); found != upstreams_.end())
+        found->second.leaseEndsBy = std::max(found->second.leaseEndsBy, endsBy);
+}
+
 TimePoint ShardEngine::leaseLimit(const UpstreamId& id) const
 {
     const auto found = upstreams_.find(id);
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -175,6 +175,7 @@
     }
     retryRuns(upstream, endedRuns, now);
     upstream.lastEndHandled = 0;
+    upstream.leaseEndsBy = TimePoint {};
     upstream.unrecorded.clear();
     // The new incarnation has seen no fencing token, so it accepts starts of an earlier owner until this owner requests
     // a report. One report is enough if this owner knew all runs before the restart.
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -95,14 +95,15 @@
     const std::string& rack, const UpstreamId& reserved, TimePoint now)
 {
     const auto& step = job.spec->steps[stepIndex];
+    const auto latestEnd = latestEndFor(job.origin);
     Upstream* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (auto& [id, upstream] : upstreams_) {
         if (!isUsable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
             || !step.need.fitsIn(upstream.freeCapacity))
             continue;
-        // This lasts until a confirmation or the end of a run arrives, so forecasts count on the upstream.
-        if (!upstream.mayExtendLease(now))
+        // These last until a confirmation or the end of a run arrives, so forecasts count on the upstream.
+        if (!upstream.mayExtendLease(now) || upstream.leaseEndsBy > latestEnd)
             continue;
         if (job.spec->advice && job.steps[stepIndex].permits.ticketFor(upstream.info, now) == nullptr)
             continue;
--- a/libs/shards/tests/OriginTests.cpp
+++ b/libs/shards/tests/OriginTests.cpp
@@ -103,6 +103,19 @@
     CHECK_EQ(fixture.scheduleAndTake<StartTask>(450).size(), 1);
 }
 
+TEST_CASE("A task is not started under a lease that may outlast its client's request")
+{
+    OriginFixture fixture;
+    fixture.engine.confirmOrigin(otherOrigin, at(700));
+    fixture.startFrom(otherOrigin, 700);
+    fixture.engine.noteLease(UpstreamId("u1"), at(1720));
+    fixture.engine.confirmOrigin(origin, at(0));
+    fixture.submitFrom(origin, 700, "00000000000000b2");
+    CHECK(fixture.scheduleAndTake<StartTask>(700).empty());
+    fixture.engine.confirmOrigin(origin, at(500));
+    CHECK_EQ(fixture.scheduleAndTake<StartTask>(720).size(), 1);
+}
+
 TEST_CASE("The lease for an adopted run does not extend a run of the lost owner that is being stopped")
 {
     OriginFixture former;
