Answer and cancel requests that a handover or a closed connection leaves open

Three further findings of the review, by reading: - a request that arrived together with the end of its connection, because both were delayed on their way, was submitted and cancelled some ms later, so that its tasks could start beside those of the client's next attempt. The end of the connection is now looked for before a job is submitted; - an entry that confirmed a submission before the new owner had its state waited for ever if that state never came, and so did a request of the new owner itself. Such confirmations are kept for as long as the handover may take and then answered as in doubt; - a request that was answered as in doubt was not cancelled where it might still be held, such as at this process or at the next owner.

--- a/libs/http/include/balsammill/http/HttpServer.h
+++ b/libs/http/include/balsammill/http/HttpServer.h
@@ -34,6 +34,8 @@
     virtual void respond(const HttpResponse&) = 0;
     /// Sets a callback that runs once if the client disconnects before respond() is called.
     virtual void onAbandoned(std::function<void()>) = 0;
+    /// True if the end of the connection has already arrived, although it may not have been processed yet.
+    virtual bool hasClientLeft() = 0;
 };
 
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -88,6 +88,15 @@
 
     void onAbandoned(std::function<void()> callback) override { abandonedCallback_ = std::move(callback); }
 
+    bool hasClientLeft() override
+    {
+        error_code error;
+        char byte = 0;
+        socket_.non_blocking(true, error);
+        socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error && error != asio::error::would_block;
+    }
+
     void close()
     {
         if (closed_)
--- a/libs/http/tests/HttpTests.cpp
+++ b/libs/http/tests/HttpTests.cpp
@@ -117,6 +117,24 @@
     exchangeInProgress->respond({ .status = 200, .fields = {}, .body = {} });
 }
 
+TEST_CASE("The end of a connection that arrived with its request is visible to the handler")
+{
+    asio::io_context loop;
+    std::optional<bool> left;
+    HttpServer server(loop, NetworkAddress("127.0.0.1:0"),
+        [&](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) { left = exchange->hasClientLeft(); });
+    for (const bool closes : { false, true }) {
+        left.reset();
+        asio::ip::tcp::socket socket(loop);
+        socket.connect(parseEndpoint(server.localAddress()));
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        if (closes)
+            socket.close();
+        REQUIRE(runUntil(loop, [&] { return left.has_value(); }));
+        CHECK_EQ(*left, closes);
+    }
+}
+
 // Guards against malformed client input that crashes or blocks the process.
 TEST_CASE("Malformed requests get an error status and the server keeps serving")
 {
--- a/libs/node/src/clients/ClientRequestHandler.cpp
+++ b/libs/node/src/clients/ClientRequestHandler.cpp
@@ -129,6 +129,13 @@
         exchange->respond(Platform::unsupportedJob(submission.unsupported));
         return;
     }
+    // A request that was delayed on its way can arrive together with the end of its connection.
+    if (exchange->hasClientLeft()) {
+        context_.metrics.add("balsammill_abandoned_total");
+        if (context_.log.isSampled(id))
+            context_.log.event("job.abandoned", { { "id", id }, { "ms", std::int64_t { 0 } } });
+        return;
+    }
     const auto arrivedAt = monotonicNow();
     const auto queueLabel = "queue=\"" + queue.name.value + "\"";
     Duration declaredRunTime {};
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -280,8 +280,10 @@
     request.ownerEpoch = owner.epoch;
     request.link.reset();
     request.newOwnerAddress = NetworkAddress();
-    if (owner.address == context_.settings.peerListen)
+    if (owner.address == context_.settings.peerListen) {
+        ownership_.confirmLocal(shard, number.value);
         return;
+    }
     request.newOwnerAddress = owner.address;
     if (!alreadyConnecting)
         request.newOwnerDeadline = now + newOwnerConnectTimeout;
@@ -343,7 +345,7 @@
             waitForOwner(request, monotonicNow());
             return;
         }
-        answer(number, { .kind = JobAnswer::Kind::InDoubt });
+        answerInDoubt(number);
         return;
     case OwnerAnswer::Kind::Redirected:
         request.redirected = true;
@@ -371,6 +373,13 @@
     callback(result);
 }
 
+void JobClient::answerInDoubt(RequestNumber number)
+{
+    auto callback = std::move(requests_.at(number).callback);
+    cancel(number);
+    callback({ .kind = JobAnswer::Kind::InDoubt });
+}
+
 void JobClient::handlePeerClosed(const PeerLink& link)
 {
     std::vector<RequestNumber> lost;
@@ -384,7 +393,7 @@
             { { "id", jobIdOf(request).value }, { "shard", request.shard.value }, { "peer", link.peer().vm.value } });
         request.link.reset();
         if (!hasHomeShard(request)) {
-            answer(number, { .kind = JobAnswer::Kind::InDoubt });
+            answerInDoubt(number);
             continue;
         }
         request.inDoubt = true;
@@ -397,11 +406,8 @@
     std::vector<RequestNumber> open;
     for (const auto& [number, request] : requests_)
         open.push_back(number);
-    for (const auto number : open) {
-        auto callback = std::move(requests_.at(number).callback);
-        cancel(number);
-        callback({ .kind = JobAnswer::Kind::InDoubt });
-    }
+    for (const auto number : open)
+        answerInDoubt(number);
 }
 
 void JobClient::advance(TimePoint now)
@@ -422,7 +428,7 @@
             lost.push_back(number);
     }
     for (const auto number : lost)
-        answer(number, { .kind = JobAnswer::Kind::InDoubt });
+        answerInDoubt(number);
     for (const auto number : waiting) {
         const auto& request = requests_.at(number);
         if (hasHomeShard(request)
--- a/libs/node/src/clients/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -126,6 +126,8 @@
     /// Tells the owner at this address, if a connection to it is open, that the request is not held here.
     void cancelAt(const NetworkAddress& owner, RequestNumber);
     void answer(RequestNumber, const JobAnswer&);
+    /// Answers that the job is in doubt, and cancels it wherever it may still be held.
+    void answerInDoubt(RequestNumber);
 
     NodeContext& context_;
     PeerNetwork& peers_;
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -127,6 +127,7 @@
             "shard.hand_over_failed", { { "shard", each.content.shard.value }, { "to", each.successor.vm.value } });
         return true;
     });
+    expireEarlyConfirmations(now);
     for (auto& [name, server] : servers_) {
         const auto* owner = directory_.find(name);
         const bool overdue = owner != nullptr && now - server->startedAt() > handOverTimeout;
@@ -258,15 +259,37 @@
 
 void ShardOwnership::confirm(const PeerLink& from, const Shards::ShardName& name, std::uint64_t number)
 {
-    // Without the state of the predecessor the submission is not known yet; its entry is asked again later.
+    const Submitter submitter { .peer = from.peer(), .number = number };
     auto* server = serverOf(name);
+    // Without the state of the predecessor the submission is not known yet; its entry is asked again when it is.
     if (server == nullptr || !server->predecessor().vm.empty())
-        return;
-    const Submitter submitter { .peer = from.peer(), .number = number };
-    if (!server->confirm(submitter, from))
+        earlyConfirmations_[submitter] = { .shard = name, .expiresAt = monotonicNow() + handOverTimeout };
+    else if (!server->confirm(submitter, from))
         handlers_.answer(submitter, { .kind = OwnerAnswer::Kind::InDoubt });
 }
 
+void ShardOwnership::confirmLocal(const Shards::ShardName& name, std::uint64_t number)
+{
+    const auto* server = serverOf(name);
+    if (server == nullptr || !server->holds({ .number = number }))
+        earlyConfirmations_[{ .number = number }] = { .shard = name, .expiresAt = monotonicNow() + handOverTimeout };
+}
+
+void ShardOwnership::expireEarlyConfirmations(TimePoint now)
+{
+    std::vector<Submitter> expired;
+    for (const auto& [submitter, early] : earlyConfirmations_) {
+        if (now >= early.expiresAt)
+            expired.push_back(submitter);
+    }
+    for (const auto& submitter : expired) {
+        const auto* server = serverOf(earlyConfirmations_.at(submitter).shard);
+        earlyConfirmations_.erase(submitter);
+        if (server == nullptr || !server->holds(submitter))
+            handlers_.answer(submitter, { .kind = OwnerAnswer::Kind::InDoubt });
+    }
+}
+
 bool ShardOwnership::hasOtherOwner(const ShardOwner* excluded) const
 {
     return std::any_of(directory_.owners().begin(), directory_.owners().end(), [&](const auto& entry) {
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -38,8 +38,11 @@
     void advance(TimePoint now);
     /// Cancels a submission on the local server that holds it, if any.
     void cancel(const Submitter&);
-    /// An entry has confirmed on this connection that it waits for the answer to a submission.
+    /// An entry has confirmed on this connection that it waits for the answer to a submission. If the submission is not
+    /// handed over in time, it is answered as in doubt.
     void confirm(const PeerLink& from, const Shards::ShardName&, std::uint64_t number);
+    /// As confirm(), for a submission of this process.
+    void confirmLocal(const Shards::ShardName&, std::uint64_t number);
     /// Stops claiming shards, and hands the owned ones over to other entries of the failure domain. Shards that no
     /// entry takes over are served until releaseAt and then released.
     void leave(TimePoint releaseAt);
@@ -68,6 +71,7 @@
     void requestTakeOver(const Shards::ShardName&, TimePoint now);
     void notifyTaken(const Shards::ShardName&, const ShardOwner&);
     void handOver(const Shards::ShardName&, const ShardOwner& successor);
+    void expireEarlyConfirmations(TimePoint now);
     bool sendHandOver(const HandOver&, const ShardOwner& successor);
     void followUpstreams();
     void renew(const Shards::ShardName&, TimePoint now, bool release);
@@ -102,6 +106,12 @@
         HandOver content;
     };
     std::map<Shards::ShardName, EarlyHandOver> earlyHandOvers_;
+    // Confirmed submissions that have not been handed over yet, and when they are answered as in doubt.
+    struct EarlyConfirmation {
+        Shards::ShardName shard {};
+        TimePoint expiresAt {};
+    };
+    std::map<Submitter, EarlyConfirmation> earlyConfirmations_;
     std::map<Shards::ShardName, RecordState> recordStates_;
     Handlers handlers_;
     TimePoint releaseAt_ {};
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -73,6 +73,7 @@
     void setShardCount(std::size_t count) { durable_.setShardCount(count); }
     /// Cancels all submissions that arrived on a connection, because their entry treats them as lost once it closes.
     void cancelAllFrom(const PeerLink&);
+    bool holds(const Submitter& submitter) const { return bySubmitter_.contains(submitter); }
     /// The origin of a submission waits for the answer on this connection. Returns false if the submission is not
     /// known.
     bool confirm(const Submitter&, const PeerLink&);
--- a/standin/operators/OperatorStore.cpp
+++ b/standin/operators/OperatorStore.cpp
@@ -71,6 +71,7 @@
                 inner->respond(response);
         });
     }
+    bool hasClientLeft() override { return inner_->hasClientLeft(); }
     void onAbandoned(std::function<void()> callback) override { inner_->onAbandoned(std::move(callback)); }
 
 private:
