Confirm open submissions as soon as the owner's status arrives

An entry with open submissions on a connection now answers each status of the owner at once, so a confirmation is as old as one status interval and a round trip.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -33,9 +33,6 @@
 constexpr Duration ownerStatusInterval = std::chrono::milliseconds(100);
 // The status of an entry without shards is only a heartbeat.
 constexpr Duration heartbeatInterval = std::chrono::milliseconds(250);
-// An owner starts a task on an upstream with a full lease only if the entry was confirmed within the difference between
-// the clients' resend delay and the longest lease, some 280 ms.
-constexpr Duration confirmationInterval = std::chrono::milliseconds(100);
 // The platform polls readiness once a second and removes a node from rotation after two failures.
 constexpr Duration rotationDelay = std::chrono::milliseconds(2500);
 // Part of the shutdown time that is reserved for process exit: several times what two ticks and the last responses
@@ -95,7 +92,6 @@
     std::string configDocument;
     TimePoint configBehindSince {};
     TimePoint statusAt {};
-    TimePoint confirmedAt {};
     TimePoint drainingSince {};
     bool draining { false };
     bool exitNextTick { false };
@@ -330,6 +326,10 @@
             }
             directory.updateStatus(Shards::ShardName(shard.shard()), update);
         }
+        // An owner starts a task on an upstream with a full lease only if the confirmation is younger than the clients'
+        // resend delay less that lease.
+        if (context.stall.isSettled(now))
+            jobs.confirmSubmissions(from);
         const auto currentVersion = queues ? queues->config().version.value : 0;
         if (status.config_version() <= currentVersion) {
             return;
@@ -408,15 +408,6 @@
         peers.sendToAll(message);
     }
 
-    void confirmSubmissions(TimePoint now)
-    {
-        // The status of an owner is sent as often and confirms as well.
-        if (!ownership.ownsNothing() || now - confirmedAt < confirmationInterval || !context.stall.isSettled(now))
-            return;
-        confirmedAt = now;
-        jobs.confirmSubmissions();
-    }
-
     void respondMetrics(HttpExchange& exchange)
     {
         metrics.set(
@@ -458,7 +449,6 @@
         ownership.advance(now);
         jobs.advance(now);
         sendStatus(now, false);
-        confirmSubmissions(now);
         const bool nowReady = queues && !draining && jobs.canServe();
         if (nowReady != ready) {
             ready = nowReady;
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace Balsammill {
 
@@ -439,15 +438,12 @@
     }
 }
 
-void JobClient::confirmSubmissions()
+void JobClient::confirmSubmissions(PeerLink& link) const
 {
-    std::set<std::shared_ptr<PeerLink>> links;
-    for (const auto& [number, request] : requests_) {
-        if (const auto link = request.link.lock(); link && !hasHomeShard(request))
-            links.insert(link);
-    }
-    for (const auto& link : links)
-        link->send({});
+    const bool any = std::any_of(requests_.begin(), requests_.end(),
+        [&](const auto& entry) { return entry.second.link.lock().get() == &link && !hasHomeShard(entry.second); });
+    if (any)
+        link.send({});
 }
 
 std::optional<std::uint32_t> JobClient::waitingJobs(const Shards::QueueName& queue) const
--- a/libs/node/src/clients/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -65,9 +65,10 @@
     void abandonAll();
     /// Keeps connections to the owners of all shards open, and retries or times out waiting requests.
     void advance(TimePoint now);
-    /// Sends a message without content on each connection with an open submission, which confirms to the owner that the
-    /// clients still wait.
-    void confirmSubmissions();
+    /// Confirms to the owner at the other end of a connection that the clients of its open submissions still wait:
+    /// sends a message without content, which returns the time of the owner's last message. Sends nothing if there are
+    /// none.
+    void confirmSubmissions(PeerLink&) const;
     /// True if the owner of at least one shard can be reached.
     bool canServe() const;
     std::size_t openRequests() const { return requests_.size(); }
