Test inherited submissions with a stand-in for an entry

An owner cannot tell from an open connection whether the entry behind it still holds a submission, and real entries in a test cannot be made to lose one message or to keep a connection without using it. FakeEntry speaks the protocol between entries in the test process and answers only what a test makes it answer; it also plays a former owner that hands a shard over.

--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -10,6 +10,10 @@
 #include <string>
 #include <vector>
 
+namespace Poco::Net {
+class HTTPClientSession;
+}
+
 namespace PlatformTest {
 
 /// The HTTP answer to one client request.
@@ -49,6 +53,9 @@
     ClientAnswer submit(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
     /// Sends the request of submit() and closes the connection without waiting for an answer.
     void submitAndLeave(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
+    /// Sends the request of submit() and keeps the connection open until the returned object is destroyed.
+    std::unique_ptr<Poco::Net::HTTPClientSession> submitAndHold(
+        std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
     /// Submits like the operators' clients: after a broken connection or a 429, 502 or 503 answer it sends the job to
     /// the next entry. Returns the last answer after 12 attempts.
     ClientAnswer submitUntilAnswered(
@@ -70,6 +77,8 @@
     void restart(std::size_t entry);
     IntegrationTest::Process& entry(std::size_t index) { return *entries_[index]; }
     std::size_t entryCount() const { return entries_.size(); }
+    /// Port at which other entries connect to the entry.
+    int peerPort(std::size_t entry) const { return ports_[entry].firstPeer; }
     /// Index of the entry that owns the only shard of the domain; entryCount() if its record names no entry.
     std::size_t ownerOf(const std::string& domain);
     Standin::OperatorStore& store() { return *store_; }
