Answer a submission on the connection on which it arrived

An owner sent each answer on any connection with the entry of that name and incarnation. If that connection had gone silent while a newer one worked, the answer was lost, and the client waited until its request timed out.

The answer now goes back on the connection of the submission, or on the one that confirmed an inherited submission. Another connection with the same entry is used only if that one is closed.

The new test opens two connections that read nothing beside the one with the submission, in four rounds.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -230,7 +230,8 @@
                 { .address = NetworkAddress(message.moved().owner_address()),
                     .epoch = Epoch(message.moved().epoch()) });
         else if (message.has_confirm())
-            ownership.confirm(from, Shards::ShardName(message.confirm().shard()), message.confirm().submission());
+            ownership.confirm(from, Shards::ShardName(message.confirm().shard()), message.confirm().submission(),
+                responder(from, message.confirm().submission()));
         else if (message.has_cancel())
             ownership.cancel({ .peer = from.peer(), .number = message.cancel().submission() });
         else if (message.has_status())
@@ -271,10 +272,24 @@
             server->query(JobId(query.job()), respond);
     }
 
-    OwnerAnswerCallback responder(const PeerLink& from, std::uint64_t number)
+    // Another connection with the same entry may have gone silent, so the answer goes back on this one if it is open.
+    OwnerAnswerCallback responder(PeerLink& from, std::uint64_t number)
     {
-        return [this, to = Submitter { .peer = from.peer(), .number = number }](
-                   const OwnerAnswer& answer) { answerSubmitter(to, answer); };
+        return [this, weak = from.weak_from_this(), to = Submitter { .peer = from.peer(), .number = number }](
+                   const OwnerAnswer& answer) {
+            if (const auto link = weak.lock(); link && link->open())
+                sendAnswer(*link, to.number, answer);
+            else
+                answerSubmitter(to, answer);
+        };
+    }
+
+    static void sendAnswer(PeerLink& link, std::uint64_t number, const OwnerAnswer& answer)
+    {
+        balsammill::internal::ShardPeerMessage message;
+        encodeAnswer(answer, *message.mutable_answer());
+        message.mutable_answer()->set_submission(number);
+        link.send(message);
     }
 
     void answerSubmitter(const Submitter& to, const OwnerAnswer& answer)
@@ -290,10 +305,7 @@
             metrics.add("balsammill_answers_undelivered_total");
             return;
         }
-        balsammill::internal::ShardPeerMessage message;
-        encodeAnswer(answer, *message.mutable_answer());
-        message.mutable_answer()->set_submission(to.number);
-        link->send(message);
+        sendAnswer(*link, to.number, answer);
     }
 
     void notifyMoved(const Submitter& to, const Shards::ShardName& shard, const ShardLocation& owner)
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -256,15 +256,15 @@
         server->cancel(submitter);
 }
 
-void ShardOwnership::confirm(const PeerLink& from, const Shards::ShardName& name, std::uint64_t number)
+void ShardOwnership::confirm(
+    const PeerLink& from, const Shards::ShardName& name, std::uint64_t number, const OwnerAnswerCallback& callback)
 {
     // Without the state of the predecessor the submission is not known yet; its entry is asked again later.
     auto* server = serverOf(name);
     if (server == nullptr || !server->predecessor().vm.empty())
         return;
-    const Submitter submitter { .peer = from.peer(), .number = number };
-    if (!server->confirm(submitter, from))
-        handlers_.answer(submitter, { .kind = OwnerAnswer::Kind::InDoubt });
+    if (!server->confirm({ .peer = from.peer(), .number = number }, from, callback))
+        callback({ .kind = OwnerAnswer::Kind::InDoubt });
 }
 
 bool ShardOwnership::hasOtherOwner(const ShardOwner* excluded) const
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -39,7 +39,7 @@
     /// Cancels a submission on the local server that holds it, if any.
     void cancel(const Submitter&);
     /// An entry has confirmed on this connection that it waits for the answer to a submission.
-    void confirm(const PeerLink& from, const Shards::ShardName&, std::uint64_t number);
+    void confirm(const PeerLink& from, const Shards::ShardName&, std::uint64_t number, const OwnerAnswerCallback&);
     /// Stops claiming shards, and hands the owned ones over to other entries of the failure domain. Shards that no
     /// entry takes over are served until releaseAt and then released.
     void leave(TimePoint releaseAt);
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -177,13 +177,15 @@
     handlers_.requestConfirmation(local ? inherited.origin : origin);
 }
 
-bool ShardServer::confirm(const Submitter& submitter, const PeerLink& link)
+bool ShardServer::confirm(const Submitter& submitter, const PeerLink& link, OwnerAnswerCallback callback)
 {
     const auto found = bySubmitter_.find(submitter);
     if (found == bySubmitter_.end())
         return false;
     unconfirmed_.erase(submitter);
-    openSubmissions_.at(found->second).link = link.id();
+    auto& open = openSubmissions_.at(found->second);
+    open.link = link.id();
+    open.callback = std::move(callback);
     engine_.setOrigin(found->second, addOrigin(link));
     runScheduler();
     return true;
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -75,7 +75,7 @@
     void cancelAllFrom(const PeerLink&);
     /// The origin of a submission waits for the answer on this connection. Returns false if the submission is not
     /// known.
-    bool confirm(const Submitter&, const PeerLink&);
+    bool confirm(const Submitter&, const PeerLink&, OwnerAnswerCallback);
     const PeerId& predecessor() const { return predecessor_; }
     /// Continues with the state that the predecessor has handed over.
     void takeOver(const HandOver&);
--- a/tests/platform/InheritedSubmissionTests.cpp
+++ b/tests/platform/InheritedSubmissionTests.cpp
@@ -284,3 +284,20 @@
     link.stopReading();
     CHECK(waitUntil(in(10s), [&] { return fleet.activeRuns() == 0; }));
 }
+
+TEST_CASE("An answer arrives on the connection of its submission beside silent connections of the same entry [node]")
+{
+    Fleet fleet({ .name = "inherited-answer-link", .upstreamsPerDomain = 1 });
+    REQUIRE(fleet.waitUntilReady());
+    const auto owner = fleet.ownerOf("valencia");
+    REQUIRE_LT(owner, fleet.entryCount());
+    constexpr std::uint64_t rounds = 4;
+    for (std::uint64_t round = 1; round <= rounds; ++round) {
+        FakeEntry origin("origin" + std::to_string(round));
+        origin.connect(fleet.peerPort(owner)).stopReading();
+        auto& link = origin.connect(fleet.peerPort(owner));
+        origin.connect(fleet.peerPort(owner)).stopReading();
+        link.send(FakeEntry::submitMessage(submission, shard, jobId(static_cast<int>(round)), 50));
+        CHECK(waitUntil(in(5s), [&] { return resultOf(link) == Answer::COMPLETED; }));
+    }
+}
