--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -257,15 +257,16 @@
         server->cancel(submitter);
 }
 
-void ShardOwnership::confirm(const PeerLink& from, const Shards::ShardName& name, std::uint64_t number)
+void ShardOwnership::confirm(
+    const PeerLink& from, const Shards::ShardName& name, std::uint64_t number, const OwnerAnswerCallback& callback)
 {
     const Submitter submitter { .peer = from.peer(), .number = number };
     auto* server = serverOf(name);
     // Without the state of the predecessor the submission is not known yet; its entry is asked again when it is.
     if (server == nullptr || !server->predecessor().vm.empty())
         earlyConfirmations_[submitter] = { .shard = name, .expiresAt = monotonicNow() + handOverTimeout };
-    else if (!server->confirm(submitter, from))
-        handlers_.answer(submitter, { .kind = OwnerAnswer::Kind::InDoubt });
+    else if (!server->confirm(submitter, from, callback))
+        callback({ .kind = OwnerAnswer::Kind::InDoubt });
 }
 
 void ShardOwnership::confirmLocal(const Shards::ShardName& name, std::uint64_t number)
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -40,7 +40,7 @@
     void cancel(const Submitter&);
     /// An entry has confirmed on this connection that it waits for the answer to a submission. If the submission is not
     /// handed over in time, it is answered as in doubt.
-    void confirm(const PeerLink& from, const Shards::ShardName&, std::uint64_t number);
+    void confirm(const PeerLink& from, const Shards::ShardName&, std::uint64_t number, const OwnerAnswerCallback&);
     /// As confirm(), for a submission of this process.
     void confirmLocal(const Shards::ShardName&, std::uint64_t number);
     /// Stops claiming shards, and hands the owned ones over to other entries of the failure domain. Shards that no
