Let tests delay or drop stops and grants of the upstream stand-in

The operators' protocol allows that a call without an answer is executed seconds later, or not at all. The stand-in could do so for starts only, so no test covered a stop without effect or a late grant.

delayStops() and delayGrants() apply to the next requests or to all of them, with a delay or never; none of them is answered. A late grant keeps the length that it had when it was received. ignoreCurrentOwner() drops everything that the current owner sends, while the upstream goes on and serves a next owner. A run that is started beside an older run of the same task is recorded as a violation as before; the older one now ends, so that the counts stay right.

--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -52,6 +52,7 @@
         for (auto& [task, run] : runs_)
             run.timer->cancel();
         leaseTimer_.reset();
+        alive_.reset();
         waiters_.clear();
         server_.reset();
     });
@@ -92,6 +93,26 @@
     loop_.run([&] { stopsToRefuse_ = stops; });
 }
 
+void OperatorUpstream::delayStops(const LateRequests& stops)
+{
+    loop_.run([&] { lateStops_ = stops; });
+}
+
+void OperatorUpstream::delayGrants(const LateRequests& grants)
+{
+    loop_.run([&] { lateGrants_ = grants; });
+}
+
+int OperatorUpstream::activeRuns()
+{
+    return loop_.run([&] { return static_cast<int>(runs_.size()); });
+}
+
+void OperatorUpstream::ignoreCurrentOwner()
+{
+    loop_.run([&] { ignoredFencingToken_ = fencingToken_; });
+}
+
 std::int64_t OperatorUpstream::clockMs() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
@@ -149,6 +170,8 @@
         registry_.violations.push_back("concurrent runs of one task: " + task);
     if (registry_.forbidRestartAfterCompletion && registry_.completed[task] > 0)
         registry_.violations.push_back("task started again after completion: " + task);
+    // An older run of the task ends here, so that each task has one entry in runs_.
+    endRun(task, "stopped");
     ++registry_.starts;
     highestRun_[task] = number;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
@@ -222,66 +245,120 @@
         waiter.exchange->respond({ .status = 200, .fields = {}, .body = statusReport() });
 }
 
-void OperatorUpstream::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+bool OperatorUpstream::acceptFencingToken(std::uint64_t fencingToken)
 {
-    if (request.target == "/balsammill/run-start") {
-        if (startsToDelay_ > 0) {
-            --startsToDelay_;
-            auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
-            timer->expires_after(std::chrono::milliseconds(startDelayMs_));
-            timer->async_wait([this, timer, body = request.body](const boost::system::error_code& error) {
-                if (!error)
-                    startRun(body);
-            });
-            return;
-        }
-        const auto reason = startRun(request.body);
-        if (answersToDrop_ > 0) {
-            --answersToDrop_;
-            return;
-        }
-        exchange->respond(
-            { .status = reason.empty() ? 200U : 409U, .fields = {}, .body = replyBody(clockMs(), reason) });
+    if (fencingToken < fencingToken_)
+        return false;
+    fencingToken_ = fencingToken;
+    return true;
+}
+
+void OperatorUpstream::executeLater(std::optional<std::chrono::milliseconds> delay, std::function<void()> action)
+{
+    if (!delay)
+        return;
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
+    timer->expires_after(*delay);
+    timer->async_wait([timer, alive = std::weak_ptr<bool>(alive_), action = std::move(action)](
+                          const boost::system::error_code& error) {
+        if (!error && !alive.expired())
+            action();
+    });
+}
+
+void OperatorUpstream::handleStart(const std::string& body, const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (startsToDelay_ > 0) {
+        --startsToDelay_;
+        executeLater(std::chrono::milliseconds(startDelayMs_), [this, body] { startRun(body); });
+        return;
+    }
+    const auto reason = startRun(body);
+    if (answersToDrop_ > 0) {
+        --answersToDrop_;
+        return;
+    }
+    exchange->respond({ .status = reason.empty() ? 200U : 409U, .fields = {}, .body = replyBody(clockMs(), reason) });
+}
+
+void OperatorUpstream::executeStop(const Stop& stop)
+{
+    highestRun_[stop.task] = std::max(highestRun_[stop.task], stop.number);
+    if (const auto found = runs_.find(stop.task); found != runs_.end() && found->second.number <= stop.number)
+        endRun(stop.task, "stopped");
+}
+
+void OperatorUpstream::handleStop(const Stop& stop, const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (lateStops_.take()) {
+        executeLater(lateStops_.delay, [this, stop] {
+            if (acceptFencingToken(stop.fencingToken))
+                executeStop(stop);
+        });
+        return;
+    }
+    if (!acceptFencingToken(stop.fencingToken)) {
+        exchange->respond({ .status = 409, .fields = {}, .body = replyBody(clockMs(), "fence") });
+        return;
+    }
+    if (stopsToRefuse_ > 0) {
+        --stopsToRefuse_;
+        exchange->respond({ .status = 503, .fields = {}, .body = replyBody(clockMs(), {}) });
         return;
     }
+    executeStop(stop);
+    exchange->respond({ .status = 200, .fields = {}, .body = replyBody(clockMs(), {}) });
+}
+
+void OperatorUpstream::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+{
     rapidjson::Document body;
     body.Parse(request.body.data(), request.body.size());
     const auto fencingToken = body["fencing_token"].GetUint64();
-    if (fencingToken < fencingToken_) {
-        exchange->respond({ .status = 409, .fields = {}, .body = replyBody(clockMs(), "fence") });
+    if (fencingToken <= ignoredFencingToken_)
+        return;
+    if (request.target == "/balsammill/run-start")
+        handleStart(request.body, exchange);
+    else if (request.target == "/balsammill/run-stop")
+        handleStop(
+            { .task = body["task"].GetString(), .number = body["run"].GetUint64(), .fencingToken = fencingToken },
+            exchange);
+    else
+        handleHold({ .leaseExpiryMs = body.HasMember("deadline_ms")
+                           ? std::optional<std::int64_t>(body["deadline_ms"].GetInt64())
+                           : std::nullopt,
+                       .lastSeen = body["last_seen"].GetUint64(),
+                       .waitMs = body.HasMember("wait_ms") ? body["wait_ms"].GetInt() : 0,
+                       .fencingToken = fencingToken },
+            exchange);
+}
+
+void OperatorUpstream::handleHold(const Hold& hold, const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (hold.leaseExpiryMs && lateGrants_.take()) {
+        executeLater(
+            lateGrants_.delay, [this, length = *hold.leaseExpiryMs - clockMs(), fencingToken = hold.fencingToken] {
+                if (acceptFencingToken(fencingToken))
+                    extendLease(clockMs() + length);
+            });
         return;
     }
-    fencingToken_ = fencingToken;
-    if (request.target == "/balsammill/run-stop") {
-        if (stopsToRefuse_ > 0) {
-            --stopsToRefuse_;
-            exchange->respond({ .status = 503, .fields = {}, .body = replyBody(clockMs(), {}) });
-            return;
-        }
-        const std::string task = body["task"].GetString();
-        const auto number = body["run"].GetUint64();
-        highestRun_[task] = std::max(highestRun_[task], number);
-        if (const auto found = runs_.find(task); found != runs_.end() && found->second.number <= number)
-            endRun(task, "stopped");
-        exchange->respond({ .status = 200, .fields = {}, .body = replyBody(clockMs(), {}) });
+    if (!acceptFencingToken(hold.fencingToken)) {
+        exchange->respond({ .status = 409, .fields = {}, .body = replyBody(clockMs(), "fence") });
         return;
     }
-    if (body.HasMember("deadline_ms"))
-        extendLease(body["deadline_ms"].GetInt64());
-    const auto lastSeen = body["last_seen"].GetUint64();
-    std::erase_if(endedRuns_, [lastSeen](const EndedRun& each) { return each.sequence <= lastSeen; });
-    const int waitMs = body.HasMember("wait_ms") ? body["wait_ms"].GetInt() : 0;
-    if (!endedRuns_.empty() || waitMs == 0) {
+    if (hold.leaseExpiryMs)
+        extendLease(*hold.leaseExpiryMs);
+    std::erase_if(endedRuns_, [&hold](const EndedRun& each) { return each.sequence <= hold.lastSeen; });
+    if (!endedRuns_.empty() || hold.waitMs == 0) {
         exchange->respond({ .status = 200, .fields = {}, .body = statusReport() });
         return;
     }
     waiters_.push_back({ exchange });
-    auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
-    timer->expires_after(std::chrono::milliseconds(waitMs));
-    timer->async_wait([this, timer, exchange](const boost::system::error_code& error) {
+    executeLater(std::chrono::milliseconds(hold.waitMs), [this, exchange] {
         const auto found = std::find_if(
             waiters_.begin(), waiters_.end(), [&](const Waiter& waiter) { return waiter.exchange == exchange; });
-        if (error || found == waiters_.end())
+        if (found == waiters_.end())
             return;
         waiters_.erase(found);
         exchange->respond({ .status = 200, .fields = {}, .body = statusReport() });
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "LateRequests.h"
 #include "LoopThread.h"
 
 #include "balsammill/http/HttpServer.h"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,7 +33,7 @@
 
 /// Stand-in for an upstream that implements the operators' published protocol. A start that exceeds the capacity or
 /// runs a task twice is executed and recorded in the registry as a violation. Tests can make the upstream leave starts
-/// unanswered, execute them late, refuse stops, and fail its runs.
+/// unanswered, execute starts, stops and grants late or never, refuse stops, ignore an owner, and fail its runs.
 class OperatorUpstream {
 public:
     struct Options {
@@ -56,6 +59,15 @@
     void setFailing(bool failing);
     /// Answers the next stops, up to the given number, with status 503 without executing them.
     void refuseStops(int stops);
+    /// Executes these stops after their delay or never, and leaves them unanswered.
+    void delayStops(const LateRequests& stops);
+    /// Grants the leases of these reports after their delay or never, and leaves the reports unanswered. A late grant
+    /// has the length that it had when the request was received.
+    void delayGrants(const LateRequests& grants);
+    /// Neither executes nor answers any further request of the owner that sent the last one, or of earlier owners.
+    void ignoreCurrentOwner();
+    /// Number of runs in progress.
+    int activeRuns();
 
 private:
     struct Run {
@@ -73,7 +85,26 @@
         std::shared_ptr<Balsammill::HttpExchange> exchange;
     };
 
+    struct Stop {
+        std::string task;
+        std::uint64_t number { 0 };
+        std::uint64_t fencingToken { 0 };
+    };
+    struct Hold {
+        std::optional<std::int64_t> leaseExpiryMs;
+        std::uint64_t lastSeen { 0 };
+        int waitMs { 0 };
+        std::uint64_t fencingToken { 0 };
+    };
+
     void handle(const Balsammill::HttpRequest&, const std::shared_ptr<Balsammill::HttpExchange>&);
+    void handleStart(const std::string& body, const std::shared_ptr<Balsammill::HttpExchange>&);
+    void handleStop(const Stop&, const std::shared_ptr<Balsammill::HttpExchange>&);
+    void handleHold(const Hold&, const std::shared_ptr<Balsammill::HttpExchange>&);
+    /// Returns false if an owner with a higher fencing token has sent a request.
+    bool acceptFencingToken(std::uint64_t);
+    void executeStop(const Stop&);
+    void executeLater(std::optional<std::chrono::milliseconds> delay, std::function<void()> action);
     /// Returns the reason for a refusal; empty if the run has started or was running already.
     std::string startRun(const std::string& body);
     void endRun(const std::string& task, const std::string& outcome);
@@ -101,7 +132,13 @@
     int startsToDelay_ { 0 };
     int startDelayMs_ { 0 };
     int stopsToRefuse_ { 0 };
+    LateRequests lateStops_;
+    LateRequests lateGrants_;
+    // Requests with fencing tokens up to this one are ignored.
+    std::uint64_t ignoredFencingToken_ { 0 };
     bool failing_ { false };
+    // Reset when the upstream is destroyed, so that timers that are still pending do nothing.
+    std::shared_ptr<bool> alive_ { std::make_shared<bool>(true) };
 };
 
 } // namespace Standin
