--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -166,15 +166,21 @@
     return request(entry, "POST", "/check/" + id, submission(tasks, milliCores, R"("best_effort":true,)"));
 }
 
-void Fleet::submitAndLeave(std::size_t entry, const std::string& id, int tasks, int milliCores) const
+std::unique_ptr<Poco::Net::HTTPClientSession> Fleet::openSubmission(
+    std::size_t entry, const std::string& id, int tasks, int milliCores) const
 {
-    Poco::Net::HTTPClientSession session("127.0.0.1", ports_[entry].client.number());
+    auto session = std::make_unique<Poco::Net::HTTPClientSession>("127.0.0.1", ports_[entry].client.number());
     Poco::Net::HTTPRequest request("POST", "/check/" + id, Poco::Net::HTTPRequest::HTTP_1_1);
     const auto body = submission(tasks, milliCores, R"("best_effort":true,)");
     request.setHost(host);
     request.setContentLength(static_cast<std::streamsize>(body.size()));
-    session.sendRequest(request) << body << std::flush;
-    session.reset();
+    session->sendRequest(request) << body << std::flush;
+    return session;
+}
+
+void Fleet::submitAndLeave(std::size_t entry, const std::string& id, int tasks, int milliCores) const
+{
+    openSubmission(entry, id, tasks, milliCores);
 }
 
 ClientAnswer Fleet::submitDurable(
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -10,6 +10,10 @@
 #include <string>
 #include <vector>
 
+namespace Poco::Net {
+class HTTPClientSession;
+}
+
 namespace PlatformTest {
 
 /// The HTTP answer to one client request.
@@ -47,6 +51,9 @@
     bool isReady(std::size_t entry) const;
     /// Submits a best-effort job, whose tasks use milliCores each, and waits until it has ended.
     ClientAnswer submit(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
+    /// Sends the request of submit() without waiting for an answer. The client leaves when the session is destroyed.
+    std::unique_ptr<Poco::Net::HTTPClientSession> openSubmission(
+        std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
     /// Sends the request of submit() and closes the connection without waiting for an answer.
     void submitAndLeave(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000) const;
     /// Submits like the operators' clients: after a broken connection or a 429, 502 or 503 answer it sends the job to
