--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -166,7 +166,7 @@
     return request(entry, "POST", "/check/" + id, submission(tasks, milliCores, R"("best_effort":true,)"));
 }
 
-std::unique_ptr<Poco::Net::HTTPClientSession> Fleet::submitAndHold(
+std::unique_ptr<Poco::Net::HTTPClientSession> Fleet::openSubmission(
     std::size_t entry, const std::string& id, int tasks, int milliCores) const
 {
     auto session = std::make_unique<Poco::Net::HTTPClientSession>("127.0.0.1", ports_[entry].client.number());
@@ -180,7 +180,7 @@
 
 void Fleet::submitAndLeave(std::size_t entry, const std::string& id, int tasks, int milliCores) const
 {
-    submitAndHold(entry, id, tasks, milliCores)->reset();
+    openSubmission(entry, id, tasks, milliCores)->reset();
 }
 
 ClientAnswer Fleet::submitDurable(
--- a/tests/platform/InheritedSubmissionTests.cpp
+++ b/tests/platform/InheritedSubmissionTests.cpp
@@ -176,7 +176,7 @@
         const std::size_t origin = owner == 2 ? 1 : 2;
         std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> sessions;
         for (int i = 1; i <= clients; ++i)
-            sessions.push_back(fleet.submitAndHold(origin, jobId(round * 100 + i), 1));
+            sessions.push_back(fleet.openSubmission(origin, jobId(round * 100 + i), 1));
         CHECK(waitUntil(in(10s), [&] { return fleet.activeRuns() == clients; }));
         fleet.entry(owner).signal(SIGTERM);
         for (auto& session : sessions) {
@@ -199,7 +199,7 @@
     const auto owner = fleet.ownerOf("valencia");
     REQUIRE_LT(owner, fleet.entryCount());
     const std::size_t origin = owner == 2 ? 1 : 2;
-    auto session = fleet.submitAndHold(origin, jobId(1), 1);
+    auto session = fleet.openSubmission(origin, jobId(1), 1);
     CHECK(waitUntil(in(10s), [&] { return fleet.activeRuns() == 1; }));
     fleet.entry(origin).signal(SIGSTOP);
     session.reset();
@@ -230,7 +230,7 @@
     Fleet fleet({ .name = "inherited-own-client", .entriesPerDomain = 1, .upstreamsPerDomain = 1, .runMs = 300 });
     REQUIRE(fleet.waitUntilReady());
     FakeFormerOwner former(fleet);
-    auto session = fleet.submitAndHold(0, jobId(1), 1);
+    auto session = fleet.openSubmission(0, jobId(1), 1);
     REQUIRE(waitUntil(in(10s), [&] { return former.find(&Message::has_submit).has_value(); }));
     session.reset();
     REQUIRE(waitUntil(in(10s), [&] { return former.find(&Message::has_cancel).has_value(); }));
