--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -113,7 +113,7 @@
         IntegrationTest::ProcessOptions { .name = options_.name + "-" + std::to_string(index),
             .program = BALSAMMILL_BINARY,
             .arguments = { "node", "--settings", settingsFiles_[index], "--log-sample", "1" },
-            .environment = {},
+            .environment = options_.environment,
             .outputToLog = true });
 }
 
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -5,6 +5,7 @@
 #include "OperatorUpstream.h"
 #include "support/Process.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -41,6 +42,8 @@
         /// If not empty, the advice service allows only these upstreams, and upstreams refuse starts without its
         /// ticket.
         std::set<std::string> advisedUpstreams {};
+        /// Extra environment variables of the entries.
+        std::map<std::string, std::string> environment {};
     };
 
     explicit Fleet(const Options&);
