Count the suspension of a VM in every decision

An owner whose VM had been suspended started tasks that their entry had given up and their client had sent again elsewhere: two runs of one task.

Cause: monotonicNow() was std::chrono::steady_clock, which does not count a suspension; CLOCK_BOOTTIME does. After one, no connection looked unconfirmed, StallDetector saw no gap, and leases and timeouts missed the time. The messages that had waited in the sockets were carried out.

TimePoint and monotonicNow() use SuspendAwareClock, which reads CLOCK_BOOTTIME and throws std::system_error if it cannot; the timers of the event loops use it too (Timer). The system's wait for a timer does not count a suspension either, so a timer can fire late by what was left of its wait; the tick of a node bounds that to 50 ms, and until then StallDetector tells the gap from the last tick.

--- a/libs/base/include/balsammill/base/Units.h
+++ b/libs/base/include/balsammill/base/Units.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balsammill/base/SuspendAwareClock.h"
+
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -7,12 +9,13 @@
 
 namespace Balsammill {
 
-/// Monotonic time with microsecond resolution. Decision logic receives the time as an argument and never reads a clock.
-using Duration = std::chrono::microseconds;
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+/// Monotonic time with microsecond resolution, which includes the time for which the VM was suspended. Decision logic
+/// receives the time as an argument and never reads a clock.
+using Duration = SuspendAwareClock::duration;
+using TimePoint = SuspendAwareClock::time_point;
 
 /// Reads the monotonic clock. Must not be called by decision logic.
-inline TimePoint monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+inline TimePoint monotonicNow() { return SuspendAwareClock::now(); }
 
 /// Number with a tag type, so that numbers of different meanings cannot be mixed up.
 template <typename Tag, typename Rep = std::uint64_t> struct StrongNumber {
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -1,10 +1,10 @@
 #include "balsammill/http/HttpClient.h"
 
 #include "balsammill/http/HttpServer.h"
+#include "balsammill/http/Timer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -194,7 +194,7 @@
     }
 
     asio::ip::tcp::socket socket_;
-    asio::steady_timer timer_;
+    Timer timer_;
     std::weak_ptr<HttpClient*> owner_;
     std::string serializedRequest_;
     std::size_t bytesWritten_ { 0 };
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -1,6 +1,6 @@
 #include "balsammill/http/HttpServer.h"
+#include "balsammill/http/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -258,7 +258,7 @@
     }
 
     asio::ip::tcp::socket socket_;
-    asio::steady_timer timer_;
+    Timer timer_;
     std::shared_ptr<Shared> shared_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::array<char, readBlockBytes> readBuffer_;
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -10,6 +10,7 @@
 #include "peers/PeerNetwork.h"
 
 #include "balsammill/base/ProcessId.h"
+#include "balsammill/http/Timer.h"
 #include "balsammill/internal/shard.pb.h"
 #include "platform/Documents.h"
 #include "platform/JobMessages.h"
@@ -18,7 +19,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <set>
@@ -87,7 +87,7 @@
     HttpServer readinessServer;
     HttpServer metricsServer;
     boost::asio::signal_set signals;
-    boost::asio::steady_timer tick;
+    Timer tick;
     std::shared_ptr<const QueueTable> queues;
     std::string configDocument;
     TimePoint configBehindSince {};
--- a/libs/node/src/TableFollower.h
+++ b/libs/node/src/TableFollower.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "balsammill/http/Timer.h"
 #include "platform/Store.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +46,7 @@
     void handleSuccess();
 
     Platform::Store& store_;
-    boost::asio::steady_timer retryTimer_;
+    Timer retryTimer_;
     std::string table_;
     Duration followDelay_;
     Handlers handlers_;
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -5,6 +5,7 @@
 #include "ShardJournal.h"
 #include "clients/OwnerAnswer.h"
 
+#include "balsammill/http/Timer.h"
 #include "balsammill/shards/DurableJobTable.h"
 #include "balsammill/shards/ShardEngine.h"
 
@@ -102,7 +103,7 @@
     std::vector<std::function<void()>> deferredUntilOpen_;
     std::multimap<JobId, OwnerAnswerCallback> submitCallbacks_;
     std::multimap<JobId, OwnerAnswerCallback> cancelCallbacks_;
-    boost::asio::steady_timer writeTimer_;
+    Timer writeTimer_;
     std::size_t shardCount_ { 1 };
     bool writing_ { false };
     // Time at which the write timer fires; TimePoint::max() if it is not running.
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "balsammill/http/Timer.h"
 #include "balsammill/shards/Admission.h"
 #include "platform/Store.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,7 +62,7 @@
     void restartOpen() { readPage({}); }
 
     Platform::Store& store_;
-    boost::asio::steady_timer retryTimer_;
+    Timer retryTimer_;
     std::string partition_;
     Epoch epoch_;
     // Version of the fence row; 0 if there is none.
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -1,9 +1,8 @@
 #include "UpstreamSession.h"
 
+#include "balsammill/http/Timer.h"
 #include "platform/Json.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -263,7 +262,7 @@
 
 void UpstreamSession::runAfter(Duration delay, std::function<void()> action)
 {
-    auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop);
+    auto timer = std::make_shared<Timer>(context_.loop);
     timer->expires_after(delay);
     timer->async_wait(
         [self = shared_from_this(), timer, action = std::move(action)](const boost::system::error_code& error) {
