Test a job that is submitted again to the next owner before the handover

The next owner accepts the client's second attempt while it waits for the state of the shard, which then contains the first attempt. The second must run once, and the entry of the first must get an answer.

--- a/tests/platform/InheritedSubmissionTests.cpp
+++ b/tests/platform/InheritedSubmissionTests.cpp
@@ -95,13 +95,18 @@
         return std::nullopt;
     }
 
-    void handOver(const balsammill::internal::HandedOverJob& job)
+    // The real entry owns the shard afterwards and waits for its state.
+    void offer() const
     {
-        Message offer;
-        offer.mutable_take_over()->set_shard(shard);
-        offer.mutable_take_over()->set_epoch(epoch);
-        link->send(offer);
+        Message message;
+        message.mutable_take_over()->set_shard(shard);
+        message.mutable_take_over()->set_epoch(epoch);
+        link->send(message);
         REQUIRE(waitUntil(in(10s), [&] { return find(&Message::has_taken).has_value(); }));
+    }
+
+    void handOver(const balsammill::internal::HandedOverJob& job) const
+    {
         Message content;
         content.mutable_hand_over()->set_shard(shard);
         content.mutable_hand_over()->set_epoch(epoch);
@@ -218,6 +223,7 @@
     REQUIRE(fleet.waitUntilReady());
     FakeFormerOwner former(fleet);
     const auto job = FakeEntry::submitMessage(submission, shard, jobId(1), 300).submit().job();
+    former.offer();
     former.handOver(handedOver(job, "lost", 1, submission));
     CHECK_EQ(fleet.submitUntilAnswered(0, jobId(2), 1).status, 200);
     CHECK(
@@ -236,11 +242,31 @@
     REQUIRE(waitUntil(in(10s), [&] { return former.find(&Message::has_cancel).has_value(); }));
     const auto hello = former.find(&Message::has_hello)->hello();
     const auto submit = former.find(&Message::has_submit)->submit();
+    former.offer();
     former.handOver(handedOver(submit.job(), hello.vm(), hello.incarnation(), submit.submission()));
     CHECK_EQ(fleet.submitUntilAnswered(0, jobId(2), 1).status, 200);
     CHECK_EQ(fleet.starts(), 1);
 }
 
+TEST_CASE("An inherited job that its client has submitted again to the next owner is in doubt for its entry [node]")
+{
+    Fleet fleet({ .name = "inherited-resubmitted", .entriesPerDomain = 1, .upstreamsPerDomain = 1, .runMs = 300 });
+    REQUIRE(fleet.waitUntilReady());
+    FakeFormerOwner former(fleet);
+    FakeEntry origin("origin");
+    auto& link = origin.connect(fleet.peerPort(0));
+    former.offer();
+    ClientAnswer answer;
+    std::thread client([&] { answer = fleet.submit(0, jobId(1), 1); });
+    CHECK(waitUntil(in(10s), [&] { return fleet.metrics(0).find("balsammill_accepted_total") != std::string::npos; }));
+    const auto job = FakeEntry::submitMessage(submission, shard, jobId(1), 300).submit().job();
+    former.handOver(handedOver(job, origin.vm(), origin.incarnation(), submission));
+    client.join();
+    CHECK_EQ(answer.body, R"({"state":"completed"})");
+    CHECK(waitUntil(in(10s), [&] { return resultOf(link) == Answer::IN_DOUBT; }));
+    CHECK_EQ(fleet.starts(), 1);
+}
+
 TEST_CASE("The close of one connection cancels no submission of a newer connection of the same entry [node]")
 {
     Fleet fleet({ .name = "inherited-two-links", .upstreamsPerDomain = 1, .runMs = 1'500 });
