--- a/libs/shards/tests/ShardEngineProperties.cpp
+++ b/libs/shards/tests/ShardEngineProperties.cpp
@@ -1,4 +1,5 @@
 #include "EngineFixture.h"
+#include "SimulatedUpstream.h"
 
 #include <doctest/doctest.h>
 
@@ -14,76 +15,6 @@
 
 namespace {
 
-// Model of an upstream. It runs the tasks that it is sent, keeps the highest fencing token and, for each task, the
-// highest run number that was started or stopped, and lists ends until they are acknowledged.
-struct SimulatedUpstream {
-    struct Running {
-        TaskKey task;
-        RunNumber run;
-        std::int64_t milliCores { 0 };
-        int endsAt { 0 };
-        // When a stop takes effect; 0 if the run is not being stopped. Until then the run is in neither list of a
-        // report and still uses its capacity.
-        int stopEffectiveAt { 0 };
-    };
-    std::int64_t capacity { 32'000 };
-    std::int64_t startedUnixMs { 1000 };
-    std::uint64_t fencingToken { 0 };
-    std::vector<Running> running;
-    std::map<TaskKey, RunNumber> highestRuns;
-    std::vector<EndedTask> ended;
-    std::uint64_t lastSequence { 0 };
-    int leaseUntil { 0 };
-    // Runs that ended as done, whether their ends are still listed or not.
-    struct Done {
-        std::uint64_t sequence { 0 };
-        TaskKey task;
-        // The task was started again after this run ended.
-        bool startedAgain { false };
-        // The lease has expired since, or the end was dropped before an owner saw it, so the task may run again.
-        bool mayRunAgain { false };
-        bool acknowledged { false };
-    };
-    std::vector<Done> done;
-
-    void end(const TaskKey& task, RunEnd how)
-    {
-        const auto found
-            = std::find_if(running.begin(), running.end(), [&](const Running& each) { return each.task == task; });
-        if (found == running.end())
-            return;
-        ended.push_back({ .sequence = ++lastSequence, .task = task, .run = found->run, .how = how, .checkpoint = {} });
-        if (how == RunEnd::Done)
-            done.push_back({ .sequence = lastSequence, .task = task });
-        running.erase(found);
-    }
-
-    // The new incarnation under the same id starts without any state.
-    void restart()
-    {
-        const auto before = startedUnixMs;
-        *this = {};
-        startedUnixMs = before + 1;
-    }
-
-    UpstreamReport report(std::uint64_t acknowledged, bool ofThisIncarnation = true)
-    {
-        std::erase_if(ended, [&](const EndedTask& each) { return each.sequence <= acknowledged; });
-        // A sequence number of an earlier incarnation makes this one drop ends that the owner has not seen.
-        for (auto& each : done) {
-            const bool forgotten = each.sequence <= acknowledged;
-            each.mayRunAgain = each.mayRunAgain || (forgotten && !each.acknowledged && !ofThisIncarnation);
-            each.acknowledged = each.acknowledged || forgotten;
-        }
-        UpstreamReport report { .startedUnixMs = startedUnixMs, .running = {}, .ended = ended };
-        for (const auto& each : running) {
-            if (each.stopEffectiveAt == 0)
-                report.running.push_back({ .task = each.task, .run = each.run, .checkpoint = {} });
-        }
-        return report;
-    }
-};
-
 // Simulates successive owners of a shard on the same upstreams. Answers to starts can be lost, and starts can be
 // delivered late. An owner can crash or hand its shard over at any time while its messages are in flight. Half of the
 // jobs are durable; their recorded progress may lag behind, and survives the owner.
