Play random schedules of jobs that clients submit again to any shard

ShardEngineProperties plays one shard, so it cannot see a second run of a task that a client has submitted again through another entry while the owner of another shard still goes on with the first attempt.

ResendSimulation plays four entries, which also own two shards with a real ShardEngine each, four upstreams with clocks that may be 2 % slow, and clients that submit a job again 1.3 s after an answer in doubt or a broken connection. Processes stand still or end, connections break or go silent, messages and calls are late or lost, stops have no effect, and shards change owners with and without a handover, all at random and overlapping. Each start is checked against all runs of the task over all shards and against the capacity of its upstream. BALSAMMILL_SCHEDULES and BALSAMMILL_FIRST_SCHEDULE choose schedules by hand; a failure prints the seed and what happened to the job.

A former owner that does not know yet that it was replaced takes a run that the new owner is stopping, and that a report therefore does not list, for lost, and starts the task on another upstream on which its fencing token is still the highest.

--- /dev/null
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -0,0 +1,82 @@
+#include "ResendSimulation.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+using namespace Balsammill::Shards::Testing;
+
+namespace {
+
+int numberFromEnvironment(const char* name, int otherwise)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? otherwise : std::atoi(text);
+}
+
+// Manual runs can set a higher number of schedules, and the first one.
+int scheduleCount() { return numberFromEnvironment("BALSAMMILL_SCHEDULES", 100); }
+int firstSchedule() { return numberFromEnvironment("BALSAMMILL_FIRST_SCHEDULE", 0); }
+
+// Schedules until one is found that violates a rule because a protection is switched off.
+constexpr int maxSchedulesToFind = 1'000;
+
+unsigned seedOf(int schedule) { return static_cast<unsigned>(schedule) * 2'654'435'761U; }
+
+// Returns the first seed with a violation.
+std::optional<unsigned> runSchedules(const ResendSimulation::Options& options, int count)
+{
+    std::uint64_t runs = 0;
+    std::uint64_t ended = 0;
+    std::uint64_t resends = 0;
+    std::uint64_t stopped = 0;
+    std::uint64_t lapsed = 0;
+    std::uint64_t confirmed = 0;
+    std::optional<unsigned> failed;
+    int schedules = 0;
+    for (int i = firstSchedule(); i < firstSchedule() + count && !failed; ++i) {
+        ResendSimulation simulation(seedOf(i), options);
+        if (!simulation.run().empty())
+            failed = seedOf(i);
+        ++schedules;
+        runs += simulation.world().runsStarted;
+        stopped += simulation.world().runsStopped;
+        lapsed += simulation.world().runsLapsed;
+        confirmed += simulation.world().confirmedAfterHandOver;
+        ended += simulation.ended();
+        resends += simulation.resends();
+    }
+    MESSAGE("seed ", failed.value_or(0), ", schedules ", schedules, ", runs ", runs, " (stopped ", stopped, ", lapsed ",
+        lapsed, "), jobs ended ", ended, ", submitted again ", resends, ", confirmed after a handover ", confirmed);
+    return failed;
+}
+
+void expectNoViolation(ResendSimulation::Options options)
+{
+    const auto seed = runSchedules(options, scheduleCount());
+    if (!seed)
+        return;
+    options.traced = true;
+    ResendSimulation again(*seed, options);
+    const auto violation = again.run();
+    const auto trace = again.trace();
+    INFO("seed ", *seed, "\n", trace);
+    CHECK_EQ(violation, "");
+}
+
+} // namespace
+
+// Guards against a second run of a task that a client has submitted again, to any entry and any shard, while an owner
+// or an upstream still goes on with its earlier attempt.
+TEST_CASE("No task has two runs at a time over all shards when clients submit their jobs again")
+{
+    expectNoViolation({});
+}
+
+// Guards against a simulation in which the rules that it is meant to check make no difference.
+TEST_CASE("The schedules with resent jobs find two runs of a task if confirmations or clocks do not bound the runs")
+{
+    CHECK(runSchedules({ .confirmation = Confirmation::Off }, maxSchedulesToFind));
+    CHECK(runSchedules({ .confirmation = Confirmation::OfConnectionsOnly }, maxSchedulesToFind));
+    CHECK(runSchedules({ .clocksStand = true }, maxSchedulesToFind));
+}
