Check the time budgets of the resend promise in one place

They now stand in TimeBudgets.h (those of the engine in LeaseTimes.h), with static_asserts for the relations between constants, late ticks and slow clocks included. exceededBudgets() checks the two settings that they depend on, and settings.time_budget is logged at the start and after a reload if bounds.resend_ms is too short or bounds.stop_grace_ms too long. No value is changed. With bounds.resend_ms = 1300, max_hold_ms = 1000 and stop_grace_ms = 50 the needs are 1220 ms of 1300 ms for a resend and 260 ms of 300 ms for a stop.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "NodeContext.h"
 #include "TableFollower.h"
+#include "TimeBudgets.h"
 #include "clients/ClientRequestHandler.h"
 #include "clients/JobClient.h"
 #include "clients/JobMessageCodec.h"
@@ -27,12 +28,6 @@
 
 namespace {
 
-// Interval of the checks for timeouts of tasks and peers; shorter than every timeout that it checks.
-constexpr Duration tickInterval = std::chrono::milliseconds(50);
-// Shard owners report more often, because load changes with each task and other owners place jobs by it.
-constexpr Duration ownerStatusInterval = std::chrono::milliseconds(100);
-// The status of an entry without shards is only a heartbeat.
-constexpr Duration heartbeatInterval = std::chrono::milliseconds(250);
 // The platform polls readiness once a second and removes a node from rotation after two failures.
 constexpr Duration rotationDelay = std::chrono::milliseconds(2500);
 // Part of the shutdown time that is reserved for process exit: several times what two ticks and the last responses
@@ -164,6 +159,7 @@
         log.event("process.started",
             { { "failure_domain", settings.domain.value }, { "incarnation", context.incarnation.value },
                 { "clients", settings.clientListen.value }, { "peers", settings.peerListen.value } });
+        logExceededBudgets();
     }
 
     void handleShardChange(const Shards::ShardName& name)
@@ -483,6 +479,14 @@
         });
     }
 
+    void logExceededBudgets()
+    {
+        for (const auto& budget : exceededBudgets(context.settings))
+            log.event("settings.time_budget",
+                { { "setting", budget.setting }, { "available_ms", static_cast<std::int64_t>(toMs(budget.available)) },
+                    { "needed_ms", static_cast<std::int64_t>(toMs(budget.needed)) } });
+    }
+
     void reloadSettings()
     {
         try {
@@ -494,6 +498,7 @@
             context.settings.shutdownGrace = fresh.shutdownGrace;
             context.settings.clientResendDelay = fresh.clientResendDelay;
             log.event("settings.reloaded", {});
+            logExceededBudgets();
         } catch (const std::exception& error) {
             log.event("settings.rejected", { { "reason", error.what() } });
         }
--- a/libs/node/src/StallDetector.cpp
+++ b/libs/node/src/StallDetector.cpp
@@ -1,15 +1,8 @@
 #include "StallDetector.h"
 
-namespace Balsammill {
-
-namespace {
+#include "TimeBudgets.h"
 
-// Shorter than the time for which an entry waits for an owner, and longer than the delay of a tick on a slow VM.
-constexpr Duration stallThreshold = std::chrono::milliseconds(250);
-// Time in which everything that waited in the sockets is read.
-constexpr Duration settlePeriod = std::chrono::milliseconds(100);
-
-} // namespace
+namespace Balsammill {
 
 Duration StallDetector::noteProgress(TimePoint now)
 {
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -1,6 +1,7 @@
 #include "JobClient.h"
 
 #include "JobMessageCodec.h"
+#include "TimeBudgets.h"
 
 #include "balsammill/internal/shard.pb.h"
 
@@ -16,9 +17,6 @@
 constexpr unsigned maxAttempts = 4;
 // Retry-after value for clients while no owner can be reached; a takeover completes within this time.
 constexpr Duration noOwnerRetryAfter = std::chrono::seconds(2);
-// A job that was handed over is answered as in doubt if its new owner cannot be reached for this time; the same as the
-// timeout for a silent owner.
-constexpr Duration newOwnerConnectTimeout = std::chrono::milliseconds(800);
 // How long a request about a durable job waits for a reachable owner of its shard; long enough for a planned handover.
 constexpr Duration homeShardTimeout = std::chrono::milliseconds(700);
 
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -1,5 +1,7 @@
 #include "PeerNetwork.h"
 
+#include "TimeBudgets.h"
+
 #include "balsammill/http/HttpServer.h"
 #include "balsammill/internal/shard.pb.h"
 
@@ -12,9 +14,6 @@
 
 namespace {
 
-// Statuses arrive every 100 to 250 ms, so at least three are missing by then. Short enough to leave time for stopping a
-// task and for a client's resend.
-constexpr Duration peerTimeout = std::chrono::milliseconds(800);
 // The other end of an inbound connection gives up its submissions after peerTimeout without a message from here, which
 // counts from the last message that it has confirmed.
 bool isExpired(const PeerLink& link, TimePoint now)
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -1,5 +1,7 @@
 #include "ShardServer.h"
 
+#include "TimeBudgets.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -12,12 +14,6 @@
 // Time for reading the registrations and the first reports, and for stopping runs left by an earlier owner.
 constexpr Duration startupPeriod = std::chrono::milliseconds(250);
 
-// Tasks of a submission are started for this time after its connection was last confirmed.
-constexpr Duration confirmationTimeout = std::chrono::milliseconds(800);
-// Time for the confirmation of an inherited submission: several times what its entry needs to connect and answer.
-// Meanwhile no lease is extended on the upstreams that run its tasks, so it has to end, with the stop that follows,
-// before the leases that the former owner granted.
-constexpr Duration inheritedConfirmationTimeout = std::chrono::milliseconds(300);
 // Origin of inherited submissions until they are confirmed. It is never confirmed itself.
 constexpr Shards::OriginId unconfirmedOrigin { std::numeric_limits<std::uint64_t>::max() };
 
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -1,5 +1,7 @@
 #include "UpstreamSession.h"
 
+#include "TimeBudgets.h"
+
 #include "platform/Json.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -16,20 +18,12 @@
 constexpr Duration reportPollTime = std::chrono::milliseconds(400);
 // Long-poll time while no lease or only a short one can be granted.
 constexpr Duration shortestPollTime = std::chrono::milliseconds(50);
-// Answers arrive within a round trip in the failure domain; the rest allows for a slow process on either side.
-constexpr Duration answerTimeout = std::chrono::milliseconds(200);
-// Lease of a start request. It is short so that a start that arrives late is refused; report requests extend it.
-constexpr Duration startLease = std::chrono::milliseconds(600);
-// Lowest allowed rate of an upstream's clock relative to real time.
-constexpr double minClockRate = 0.98;
 // Added to the lease time on the slowest clock: the grace period of a stop and rounding to milliseconds.
 constexpr Duration expiryMargin = std::chrono::milliseconds(80);
 // Delay before the last finished runs of an idle upstream are acknowledged, unless a start triggers a report earlier.
 constexpr Duration idleAcknowledgeDelay = std::chrono::milliseconds(250);
 // Minimum interval between reports while finished runs wait to be recorded, which takes about one store write.
 constexpr Duration unrecordedEndsInterval = std::chrono::milliseconds(20);
-// Added to the grace period of a stop before a report is requested to check its effect.
-constexpr Duration stopMargin = std::chrono::milliseconds(10);
 // Exponential backoff after failed report requests.
 constexpr Duration initialRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(400);
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsammill/shards/LeaseTimes.h"
 #include "balsammill/shards/ShardEngine.h"
 
 #include <algorithm>
@@ -8,9 +9,6 @@
 
 // Tasks rarely fail on a healthy upstream, and almost never two in a row.
 inline constexpr std::uint32_t failuresBeforeSuspicion = 2;
-// If a stop has no effect within this time, the upstream's lease is no longer extended; its expiry ends the run in any
-// case.
-inline constexpr Duration stopTimeout = std::chrono::milliseconds(300);
 
 enum class RunState {
     /// The start was sent and has not been answered.
--- a/libs/shards/src/ShardEngineOrigins.cpp
+++ b/libs/shards/src/ShardEngineOrigins.cpp
@@ -4,13 +4,6 @@
 
 namespace Balsammill::Shards {
 
-namespace {
-
-// A task whose lease is shorter would lapse before a report can extend it.
-constexpr Duration minStartLease = std::chrono::milliseconds(300);
-
-} // namespace
-
 void ShardEngine::confirmOrigin(OriginId origin, TimePoint confirmedAt)
 {
     const auto [entry, added] = originConfirmedAt_.try_emplace(origin, confirmedAt);
