Take a run that one report does not list for lost only after a second one

Two runs of one task in two upstreams of one shard: a former owner that did not know yet that it was replaced read a report, took a run that the report did not list for lost, and started the task on another upstream, where its fencing token was still the highest. The new owner was just stopping the run, and a run that is being stopped is in neither list of a report for up to the stop's grace.

Cause: again the absence of information taken for an end, in the one place that still decided by a single report. A run that was confirmed as running is now treated like one that is being stopped: two reports, the stop's grace apart, must not list it.

--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -118,18 +118,19 @@
         const bool listed = std::any_of(report.running.begin(), report.running.end(),
             [&key = key, &run = run](const RunningTask& each) { return each.task == key && each.run == run.number; });
         const bool wasRunning = run.state == RunState::Running && run.confirmedAt <= sentAt;
-        // A run that is being stopped may be missing from both lists while it still uses its capacity.
+        // A run that is being stopped, also by the next owner of the shard, may be missing from both lists while it
+        // still uses its capacity.
         const bool knownToExist = run.confirmedAt != TimePoint {} || run.startSentAt == TimePoint {};
         // A stop may be repeated or delivered late, and any of the stops may be the one that is taking effect. So the
         // grace period counts from the first report that does not list the run.
         const bool graceOver = run.unlistedSince != TimePoint {} && run.unlistedSince + options_.stopGrace <= sentAt;
         const bool presumedStopped
-            = run.state == RunState::Stopping && knownToExist && run.stopSentAt + stopTimeout <= sentAt && graceOver;
-        if (listed || run.state != RunState::Stopping)
+            = run.state == RunState::Stopping && knownToExist && run.stopSentAt + stopTimeout <= sentAt;
+        if (listed || (!wasRunning && run.state != RunState::Stopping))
             run.unlistedSince = TimePoint {};
         else if (run.unlistedSince == TimePoint {})
             run.unlistedSince = now;
-        if (!listed && (wasRunning || presumedStopped))
+        if (!listed && graceOver && (wasRunning || presumedStopped))
             lostRuns.push_back(key);
     }
     retryRuns(upstream, lostRuns, now);
--- a/libs/shards/tests/ShardEngineTests.cpp
+++ b/libs/shards/tests/ShardEngineTests.cpp
@@ -226,7 +226,10 @@
         auto registration = makeUpstream(start.upstream.value);
         registration.startedUnixMs = 2000;
         fixture.engine.updateUpstream(registration, at(51));
-        CHECK_EQ(fixture.scheduleAndTake<StartTask>(51).size(), 1);
+        CHECK(fixture.scheduleAndTake<StartTask>(51).empty());
+        fixture.engine.handleReport(
+            start.upstream, { .startedUnixMs = 2000, .running = {}, .ended = {} }, at(101), at(102));
+        CHECK_EQ(fixture.scheduleAndTake<StartTask>(102).size(), 1);
     }
     SUBCASE("an end is reported twice: it is counted once")
     {
@@ -236,12 +239,17 @@
         CHECK(fixture.takeActionsOf<FinishJob>().empty());
         CHECK_EQ(fixture.scheduleAndTake<StartTask>(60).size(), 1);
     }
-    SUBCASE("a confirmed run is in neither list of a report: it is lost and the task runs again")
+    SUBCASE("a confirmed run is in neither list of two reports: it is lost and the task runs again")
     {
         fixture.confirmStart(start, 1);
-        fixture.engine.handleReport(
-            start.upstream, { .startedUnixMs = 1000, .running = {}, .ended = {} }, at(50), at(51));
-        CHECK_EQ(fixture.scheduleAndTake<StartTask>(51).size(), 1);
+        const UpstreamReport empty { .startedUnixMs = 1000, .running = {}, .ended = {} };
+        fixture.engine.handleReport(start.upstream, empty, at(50), at(51));
+        // The next owner of the shard may be stopping the run.
+        CHECK(fixture.scheduleAndTake<StartTask>(51).empty());
+        fixture.engine.handleReport(start.upstream, empty, at(100), at(100));
+        CHECK(fixture.scheduleAndTake<StartTask>(100).empty());
+        fixture.engine.handleReport(start.upstream, empty, at(101), at(102));
+        CHECK_EQ(fixture.scheduleAndTake<StartTask>(102).size(), 1);
     }
 }
 
@@ -318,10 +326,13 @@
         CHECK(fixture.scheduleAndTake<StartTask>(13).empty());
         fixture.engine.handleReport(start.upstream, listed, at(20), at(21));
         CHECK(fixture.scheduleAndTake<StartTask>(21).empty());
-        // A report that was requested after the answer and does not list the run shows that it is over.
-        fixture.engine.handleReport(
-            start.upstream, { .startedUnixMs = 2000, .running = {}, .ended = {} }, at(30), at(31));
-        CHECK_EQ(fixture.scheduleAndTake<StartTask>(31).size(), 1);
+        // Two reports, the stop's grace apart, that were requested after the answer and do not list the run show that
+        // it is over.
+        const UpstreamReport empty { .startedUnixMs = 2000, .running = {}, .ended = {} };
+        fixture.engine.handleReport(start.upstream, empty, at(30), at(31));
+        CHECK(fixture.scheduleAndTake<StartTask>(31).empty());
+        fixture.engine.handleReport(start.upstream, empty, at(81), at(82));
+        CHECK_EQ(fixture.scheduleAndTake<StartTask>(82).size(), 1);
     }
     SUBCASE("the registration is handled first")
     {
