--- a/libs/shards/tests/SimulatedLink.h
+++ b/libs/shards/tests/SimulatedLink.h
@@ -22,6 +22,7 @@
         SimulatedSubmitter origin;
     };
     int shard { 0 };
+    std::uint64_t epoch { 0 };
     std::vector<Job> jobs {};
     std::vector<UpstreamId> settledUpstreams {};
     Duration unreportedRunsExpireIn {};
--- a/libs/shards/tests/SimulatedNode.cpp
+++ b/libs/shards/tests/SimulatedNode.cpp
@@ -241,7 +241,8 @@
 void SimulatedNode::handle(const std::shared_ptr<SimulatedLink>& from, const HandOverMessage& message)
 {
     const auto owner = owners_.find(message.content->shard);
-    if (owner != owners_.end() && owner->second->predecessor() == from->peer)
+    if (owner != owners_.end() && owner->second->predecessor() == from->peer
+        && message.content->epoch + 1 == owner->second->epoch())
         owner->second->takeOver(*message.content);
     else
         earlyHandOvers_[message.content->shard] = { from->peer, message.content };
@@ -456,7 +457,7 @@
         return;
     const auto [from, content] = early->second;
     earlyHandOvers_.erase(early);
-    if (from == owners_.at(shard)->predecessor())
+    if (from == owners_.at(shard)->predecessor() && content->epoch + 1 == record.epoch)
         owners_.at(shard)->takeOver(*content);
 }
 
--- a/libs/shards/tests/SimulatedOwner.cpp
+++ b/libs/shards/tests/SimulatedOwner.cpp
@@ -209,6 +209,7 @@
     const auto now = at(process_.now());
     const auto allLeasesExpireAt = at(process_.now() + SimulatedSession::maxLeaseLifetimeMs);
     SimulatedHandOver result { .shard = shard_,
+        .epoch = record_.epoch,
         .settledUpstreams = engine_.settledUpstreams(),
         .unreportedRunsExpireIn = std::min(engine_.inheritedDelayedUntil(), allLeasesExpireAt) - now };
     for (auto& job : engine_.exportJobs()) {
--- a/tests/platform/InheritedSubmissionTests.cpp
+++ b/tests/platform/InheritedSubmissionTests.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -105,11 +106,13 @@
         REQUIRE(waitUntil(in(10s), [&] { return find(&Message::has_taken).has_value(); }));
     }
 
-    void handOver(const balsammill::internal::HandedOverJob& job) const
+    void handOver(const balsammill::internal::HandedOverJob& job) const { handOver(job, epoch); }
+
+    void handOver(const balsammill::internal::HandedOverJob& job, std::uint64_t ownedEpoch) const
     {
         Message content;
         content.mutable_hand_over()->set_shard(shard);
-        content.mutable_hand_over()->set_epoch(epoch);
+        content.mutable_hand_over()->set_epoch(ownedEpoch);
         *content.mutable_hand_over()->add_jobs() = job;
         link->send(content);
     }
@@ -267,6 +270,27 @@
     CHECK_EQ(fleet.starts(), 1);
 }
 
+TEST_CASE("A handover of an earlier epoch of the same owner is not taken for the current one [node]")
+{
+    Fleet fleet({ .name = "inherited-outdated", .entriesPerDomain = 1, .upstreamsPerDomain = 1, .runMs = 300 });
+    REQUIRE(fleet.waitUntilReady());
+    FakeFormerOwner former(fleet);
+    FakeEntry origin("origin");
+    auto& link = origin.connect(fleet.peerPort(0));
+    const auto isAskedFor = [&](std::uint64_t number) {
+        const auto messages = link.received();
+        return std::any_of(messages.begin(), messages.end(),
+            [number](const Message& each) { return each.has_moved() && each.moved().submission() == number; });
+    };
+    const auto outdated = FakeEntry::submitMessage(submission, shard, jobId(1), 300).submit().job();
+    const auto current = FakeEntry::submitMessage(submission + 1, shard, jobId(2), 300).submit().job();
+    former.offer();
+    former.handOver(handedOver(outdated, origin.vm(), origin.incarnation(), submission), former.epoch - 1);
+    former.handOver(handedOver(current, origin.vm(), origin.incarnation(), submission + 1));
+    CHECK(waitUntil(in(10s), [&] { return isAskedFor(submission + 1); }));
+    CHECK_FALSE(isAskedFor(submission));
+}
+
 TEST_CASE("The close of one connection cancels no submission of a newer connection of the same entry [node]")
 {
     Fleet fleet({ .name = "inherited-two-links", .upstreamsPerDomain = 1, .runMs = 1'500 });
