Cancel a request at its new owner also while it is being connected

Two runs of one task: a client left an entry just after a repeated notice of a handover had arrived. The entry had confirmed the submission before, but was waiting to confirm it again, because it was not settled, and so knew no connection to send the cancel on. The new owner held the submission for confirmed, started it 0.6 s later, and the client's next attempt ran in another shard.

Cause: while a request waits for the connection to its new owner, a cancel was sent nowhere, in the belief that the owner would ask; it asks only until the first confirmation. The cancel now goes to the new owner's address.

--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -259,6 +259,9 @@
         balsammill::internal::ShardPeerMessage message;
         message.mutable_cancel()->set_submission(number.value);
         link->send(message);
+    } else if (!request.newOwnerAddress.empty()) {
+        // The new owner may have been told before that the client waits, and asks only until then.
+        cancelAt(request.newOwnerAddress, number);
     }
 }
 
--- a/libs/shards/tests/SimulatedNode.cpp
+++ b/libs/shards/tests/SimulatedNode.cpp
@@ -304,7 +304,10 @@
     process_.world.trace(request.job->id, "cancelled at " + std::to_string(process_.key.place));
     for (auto& [shard, owner] : owners_)
         owner->cancel({ .process = {}, .number = number });
-    if (const auto link = request.link.lock())
+    auto link = request.link.lock();
+    if (!link && request.newOwner >= 0)
+        link = peers_.linkTo(request.newOwner);
+    if (link)
         link->send(process_, CancelMessage { .number = number });
 }
 
