Correct comments on confirmations and time budgets

Read as a newcomer: the comment on the time-out of connections counted missing statuses, which is no longer what it bounds; "stood still" said less than "was not running"; a confirmation was called certain although entries of earlier versions send none.

--- a/libs/node/src/StallDetector.h
+++ b/libs/node/src/StallDetector.h
@@ -4,15 +4,15 @@
 
 namespace Balsammill {
 
-/// Detects that this process stood still, because it was stopped, suspended or got no processor time. What it reads
-/// from its sockets right afterwards can be as old as that time, and a client's request can be followed by the end of
-/// its connection that has not been read yet. So nothing is begun for clients before all that has been read.
+/// Detects that this process was not running, because it was stopped, suspended or got no processor time. What it reads
+/// from its sockets right afterwards can be as old as that time, and the end of a client's connection may wait behind
+/// the client's request. So nothing is begun for clients for a short time afterwards.
 class StallDetector {
 public:
-    /// Records that the event loop runs. Called at each tick. Returns how long the process stood still, or zero if it
-    /// did not.
+    /// Records that the event loop runs. Called at each tick. Returns how long the process was not running, or zero if
+    /// that was within the delay of a tick.
     Duration noteProgress(TimePoint now);
-    /// False right after the process stood still.
+    /// False for a short time after the process was not running, also before the next tick.
     bool isSettled(TimePoint now) const;
 
 private:
--- a/libs/node/src/TimeBudgets.h
+++ b/libs/node/src/TimeBudgets.h
@@ -19,8 +19,8 @@
 // The status of an entry without shards is only a heartbeat.
 inline constexpr Duration heartbeatInterval = std::chrono::milliseconds(250);
 
-// Statuses arrive every 100 to 250 ms, so at least three are missing by then. Short enough to leave time for stopping a
-// task and for a client's resend.
+// Longest time without a message on a connection between entries or, on an inbound one, without a confirmation. Short
+// enough to leave time for stopping a task before a client's resend.
 inline constexpr Duration peerTimeout = std::chrono::milliseconds(800);
 // Tasks of a submission are started for this time after its connection was last confirmed.
 inline constexpr Duration confirmationTimeout = std::chrono::milliseconds(800);
@@ -32,9 +32,9 @@
 // timeout for a silent owner.
 inline constexpr Duration newOwnerConnectTimeout = peerTimeout;
 
-// Shorter than the time for which an entry waits for an owner, and longer than the delay of a tick on a slow VM.
+// A process whose ticks are further apart was not running. Longer than the delay of a tick on a slow VM.
 inline constexpr Duration stallThreshold = std::chrono::milliseconds(250);
-// Time in which everything that waited in the sockets is read.
+// Time for reading what waited in the sockets of a process that was not running.
 inline constexpr Duration settlePeriod = std::chrono::milliseconds(100);
 
 // Answers arrive within a round trip in the failure domain; the rest allows for a slow process on either side.
@@ -53,7 +53,8 @@
 }
 
 static_assert(ownerStatusInterval + heartbeatInterval + 2 * tickInterval + stallThreshold <= peerTimeout,
-    "a connection is confirmed in time although both sides are late and one stood still unnoticed");
+    "a connection is confirmed in time although both sides are late and one was not running for a time that is not "
+    "noticed");
 static_assert(confirmationTimeout <= peerTimeout, "nothing is started for a connection that is about to be closed");
 static_assert(stallThreshold + settlePeriod < peerTimeout, "a stall is noticed before the connection is given up");
 static_assert(onSlowestClock(answerTimeout) < Shards::minStartLease, "a start is answered within the shortest lease");
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -260,7 +260,7 @@
         message.mutable_cancel()->set_submission(number.value);
         link->send(message);
     } else if (!request.newOwnerAddress.empty()) {
-        // The new owner may have been told before that the client waits, and asks only until then.
+        // The new owner asks for a confirmation only until it has one, and may have got it before this notice arrived.
         cancelAt(request.newOwnerAddress, number);
     }
 }
--- a/libs/node/src/peers/PeerLink.h
+++ b/libs/node/src/peers/PeerLink.h
@@ -58,11 +58,12 @@
     bool closed() const { return closed_; }
     std::uint64_t sentBytes() const { return sentBytes_; }
     TimePoint lastReceivedAt() const { return lastReceivedAt_; }
-    /// Latest time at which the other process certainly still used this connection: it had received a message that
+    /// Latest time at which the other process is known to have used this connection: it had received a message that
     /// this process sent then. Unlike lastReceivedAt(), it does not advance by messages that were delayed in the
-    /// network or in the socket buffer of a process that stood still.
+    /// network or in the socket buffer of a process that was not running. Equal to lastReceivedAt() if the other
+    /// process sends no times.
     TimePoint confirmedAt() const { return confirmedAt_; }
-    /// Why the connection was closed.
+    /// Why the connection was closed; of no use while it is open.
     CloseReason closeReason() const { return closeReason_; }
     const PeerId& peer() const { return peer_; }
     const FailureDomain& domain() const { return domain_; }
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -18,8 +18,9 @@
 // counts from the last message that it has confirmed.
 bool isExpired(const PeerLink& link, TimePoint now)
 {
-    const auto aliveAt = link.inbound() ? std::min(link.lastReceivedAt(), link.confirmedAt()) : link.lastReceivedAt();
-    return now - aliveAt > peerTimeout;
+    const auto lastUsedAt
+        = link.inbound() ? std::min(link.lastReceivedAt(), link.confirmedAt()) : link.lastReceivedAt();
+    return now - lastUsedAt > peerTimeout;
 }
 
 constexpr Duration reconnectDelay = std::chrono::milliseconds(100);
@@ -140,7 +141,7 @@
 
 void PeerNetwork::handle(PeerLink& from, const balsammill::internal::ShardPeerMessage& message)
 {
-    // A message that waited while this process stood still comes from an entry that has given up on the connection.
+    // The other process may have given up on the connection while this message was delayed.
     if (isExpired(from, monotonicNow())) {
         from.close(CloseReason::Unresponsive);
         return;
--- a/libs/shards/include/balsammill/shards/JobSpec.h
+++ b/libs/shards/include/balsammill/shards/JobSpec.h
@@ -17,8 +17,8 @@
 using RunNumber = StrongNumber<struct RunNumberTag>;
 /// Identifies one submission within the process that accepted it.
 using SubmissionId = StrongNumber<struct SubmissionIdTag>;
-/// Where the clients of a group of submissions wait, such as a connection from another entry. 0 stands for jobs that
-/// need no waiting client.
+/// Group of submissions whose clients are confirmed together, such as those of one connection from another entry. 0
+/// stands for jobs that need no waiting client.
 using OriginId = StrongNumber<struct OriginIdTag>;
 
 /// Capacity of an upstream, or the part of it that a task needs.
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -110,7 +110,7 @@
     // another shard. So tasks are started only for origins that were confirmed recently, and a run must end before a
     // client that gave up right after the last confirmation can have submitted its job again.
 
-    /// The clients of this origin certainly still waited at this time.
+    /// The clients of this origin are known to have waited at this time.
     void confirmOrigin(OriginId, TimePoint confirmedAt);
     /// The origin of a submission has become known. Until it is confirmed, no task of an origin is started.
     void setOrigin(SubmissionId, OriginId);
