Do not send a superseded start again for a client that has left

A start is sent again, as a copy or after such a refusal, only if its run is still wanted and not confirmed, and a sufficient lease is permitted; else a report decides.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -150,17 +150,19 @@
 {
     sendRepeatedly(
         [this, start](SentRequest& sent) -> std::optional<HttpRequest> {
-            const auto length = permittedLease(sent.sentAt, std::min(startLease, context_.settings.maxLease));
-            if (sent.copy > 0 && length < Shards::minStartLease)
+            if (sent.copy > 0 && !maySendAgain(start, sent.sentAt))
                 return std::nullopt;
-            sent.lease = grantLease(sent.sentAt, length);
+            sent.lease = grantLease(sent.sentAt, permittedStartLease(sent.sentAt));
             return Platform::encodeStart(start, sent.lease->until, sent.token);
         },
         [this, start, mayHaveRun](Answer answer, const HttpResult& result, const SentRequest& sent) {
             const auto now = monotonicNow();
             const bool earlierCopy = mayHaveRun || sent.copy > 0;
             if (answer == Answer::Superseded) {
-                sendStart(start, earlierCopy);
+                if (maySendAgain(start, now))
+                    sendStart(start, earlierCopy);
+                else
+                    resolveByReport(start, now);
             } else if (answer == Answer::Usable) {
                 handleStartAnswer(start, *result.response, sent, earlierCopy, now);
             } else if (result.neverSent && !mayHaveRun) {
@@ -174,6 +176,16 @@
         });
 }
 
+Duration UpstreamSession::permittedStartLease(TimePoint now) const
+{
+    return permittedLease(now, std::min(startLease, context_.settings.maxLease));
+}
+
+bool UpstreamSession::maySendAgain(const Shards::StartTask& start, TimePoint now) const
+{
+    return engine_.awaitsStart(id_, start.task, start.run) && permittedStartLease(now) >= Shards::minStartLease;
+}
+
 void UpstreamSession::resolveByReport(const Shards::StartTask& start, TimePoint now)
 {
     startsInDoubt_.push_back({ .task = start.task, .run = start.run, .resolvedFrom = tokens_.raise() });
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -104,6 +104,9 @@
     void logExpiry(TimePoint now, std::size_t stillRunning);
     void runAfter(Duration delay, std::function<void()> action);
     Duration permittedLease(TimePoint now, Duration wanted) const;
+    Duration permittedStartLease(TimePoint now) const;
+    /// False if the run is not wanted any more, or could outlive its client's request.
+    bool maySendAgain(const Shards::StartTask&, TimePoint now) const;
     UpstreamLeases::Grant grantLease(TimePoint now, Duration length);
 
     NodeContext& context_;
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -173,6 +173,8 @@
     /// True if a report would decide about a run: it should have ended, so that its end may have been listed in a
     /// report that was lost, or the last report did not list it.
     bool needsReport(const UpstreamId&, TimePoint now) const;
+    /// True if the run is wanted and its start has not been confirmed.
+    bool awaitsStart(const UpstreamId&, const TaskKey&, RunNumber) const;
     /// True if the upstream has, or may have, runs whose end has not been handled.
     bool isBusy(const UpstreamId&) const;
     /// True once all runs on the upstream are known, so that it may get tasks.
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -196,6 +196,15 @@
         retryTask(*job, key.step, key.index);
 }
 
+bool ShardEngine::awaitsStart(const UpstreamId& id, const TaskKey& key, RunNumber number) const
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return false;
+    const auto run = found->second.runs.find(key);
+    return run != found->second.runs.end() && run->second.number == number && run->second.state == RunState::StartSent;
+}
+
 void ShardEngine::handleUnlistedStart(const UpstreamId& id, const TaskKey& key, RunNumber number, TimePoint now)
 {
     const auto found = upstreams_.find(id);
--- a/libs/shards/tests/ResendProperties.cpp
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -73,6 +73,13 @@
     expectNoViolation({});
 }
 
+// Guards against a start that is sent again for a client that has left: its owner stood still for 2.8 s, and the
+// request was refused because of the owner's own raised fencing token.
+TEST_CASE("A start that was refused because of a raised token is not sent again after its client's resend delay")
+{
+    CHECK_EQ(ResendSimulation(1208196639, {}).run(), "");
+}
+
 // Guards against a simulation in which the rules that it is meant to check make no difference.
 TEST_CASE("The schedules with resent jobs find two runs of a task if confirmations, clocks or tokens do not bound them")
 {
--- a/libs/shards/tests/SimulatedSession.cpp
+++ b/libs/shards/tests/SimulatedSession.cpp
@@ -165,16 +165,15 @@
 {
     sendRepeatedly(
         [this, start](SentRequest& sent) -> std::optional<UpstreamRequest> {
-            const auto length = permittedLease(startLease);
-            if (sent.copy > 0 && length < toMs(minStartLease))
+            if (sent.copy > 0 && !maySendAgain(start))
                 return std::nullopt;
-            return StartRequest { .start = start, .deadline = grantLease(length, sent) };
+            return StartRequest { .start = start, .deadline = grantLease(permittedLease(startLease), sent) };
         },
         [this, start, mayHaveRun](Answer answer, const UpstreamResponse* response, const SentRequest& sent) {
             const bool earlierCopy = mayHaveRun || sent.copy > 0;
-            if (answer == Answer::Superseded) {
+            if (answer == Answer::Superseded && maySendAgain(start)) {
                 sendStart(start, earlierCopy);
-            } else if (answer == Answer::None || (response->refusal && earlierCopy)) {
+            } else if (answer != Answer::Usable || (response->refusal && earlierCopy)) {
                 resolveByReport(start);
             } else if (response->refusal) {
                 engine_.handleStartRefused(id_, start.task, start.run, *response->refusal, at(process_.now()));
@@ -186,6 +185,11 @@
         });
 }
 
+bool SimulatedSession::maySendAgain(const StartTask& start) const
+{
+    return engine_.awaitsStart(id_, start.task, start.run) && permittedLease(startLease) >= toMs(minStartLease);
+}
+
 void SimulatedSession::resolveByReport(const StartTask& start)
 {
     startsInDoubt_.push_back({ .task = start.task, .run = start.run, .resolvedFrom = tokens_.raise() });
--- a/libs/shards/tests/SimulatedSession.h
+++ b/libs/shards/tests/SimulatedSession.h
@@ -62,6 +62,7 @@
     void doubt();
     void runAfter(int delay, std::function<void()> action);
     int permittedLease(int wanted) const;
+    bool maySendAgain(const StartTask&) const;
     int longestLease(int granted) const;
     std::int64_t grantLease(int length, SentRequest&);
     bool isCheckDue() const;
