Let requests wait for the first configuration of a starting entry

They now wait up to 300 ms, 500 of them at most. An entry looks each 10 ms, instead of 50, whether it can claim a shard until it has read the store's tables, for one second at most: the claim came 40 ms after the records.

EntryStartTests: 503 with the base program, 200 now; without the store the answer is 503 before and after.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -37,6 +37,9 @@
 constexpr Duration releaseMargin = std::chrono::milliseconds(1200);
 // Minimum interval between reads of the shard table, so that renewals are read in batches.
 constexpr Duration shardRecordReadDelay = std::chrono::milliseconds(30);
+// While a process starts, it looks more often whether it can claim a shard.
+constexpr Duration startupTickInterval = std::chrono::milliseconds(10);
+constexpr Duration maxStartupPeriod = std::chrono::seconds(1);
 // How long to wait for the store to deliver a newer configuration before it is requested from the peer that has it.
 constexpr Duration configFetchDelay = std::chrono::milliseconds(300);
 // Time allowed for flushing the log at exit; the log is written every 100 ms.
@@ -85,6 +88,7 @@
     Timer tick;
     std::shared_ptr<const QueueTable> queues;
     std::string configDocument;
+    TimePoint startedAt { monotonicNow() };
     TimePoint configBehindSince {};
     TimePoint statusAt {};
     TimePoint drainingSince {};
@@ -437,9 +441,12 @@
             { .status = 200, .fields = {}, .body = metrics.exposition(), .contentType = "text/plain; version=0.0.4" });
     }
 
+    // True until the store's tables have been read, if that takes no longer than usual.
+    bool starting() const { return monotonicNow() < startedAt + maxStartupPeriod && !(queues && shardRows.loaded()); }
+
     void scheduleTick()
     {
-        tick.expires_after(tickInterval);
+        tick.expires_after(starting() ? startupTickInterval : tickInterval);
         tick.async_wait([this](const boost::system::error_code& error) {
             if (error)
                 return;
@@ -456,6 +463,7 @@
         peers.advance(now);
         ownership.advance(now);
         jobs.advance(now);
+        front.advance(now);
         sendStatus(now, false);
         const bool nowReady = queues && !draining && jobs.canServe();
         if (nowReady != ready) {
--- a/libs/node/src/clients/ClientRequestHandler.cpp
+++ b/libs/node/src/clients/ClientRequestHandler.cpp
@@ -3,12 +3,20 @@
 #include "platform/JobMessages.h"
 #include "platform/Json.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Balsammill {
 
 namespace {
 
 // A node without a configuration receives one within this time once the store answers.
 constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
+// Time for which a request waits for the first configuration. A process that starts reads it within some tens of
+// milliseconds unless the store is away.
+constexpr Duration maxConfigurationWait = std::chrono::milliseconds(300);
+// Requests that wait for the first configuration; bounds the memory for them.
+constexpr std::size_t maxEarlyRequests = 500;
 
 // Owners report their counts every 100 ms; a new owner loads its jobs within this time.
 constexpr Duration noCountRetryAfter = std::chrono::seconds(1);
@@ -73,15 +81,56 @@
 {
 }
 
-void ClientRequestHandler::setQueues(std::shared_ptr<const QueueTable> queues) { queues_ = std::move(queues); }
+void ClientRequestHandler::setQueues(std::shared_ptr<const QueueTable> queues)
+{
+    queues_ = std::move(queues);
+    for (const auto& early : std::exchange(earlyRequests_, {})) {
+        if (!early.exchange->hasClientLeft())
+            handle(early.request, early.exchange, early.arrivedAt);
+    }
+}
 
-void ClientRequestHandler::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+void ClientRequestHandler::advance(TimePoint now)
+{
+    std::erase_if(earlyRequests_, [this, now](const EarlyRequest& early) {
+        if (now < early.refuseAt)
+            return false;
+        refuseUnconfigured(*early.exchange);
+        return true;
+    });
+}
+
+void ClientRequestHandler::refuseUnconfigured(HttpExchange& exchange)
+{
+    context_.metrics.add("balsammill_refused_without_configuration_total");
+    exchange.respond(Platform::serviceUnavailable(noConfigurationRetryAfter));
+}
+
+void ClientRequestHandler::keepUntilConfigured(
+    const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
 {
-    if (!queues_) {
-        context_.metrics.add("balsammill_refused_without_configuration_total");
-        exchange->respond(Platform::serviceUnavailable(noConfigurationRetryAfter));
+    const auto now = monotonicNow();
+    if (earlyRequests_.size() >= maxEarlyRequests) {
+        refuseUnconfigured(*exchange);
         return;
     }
+    earlyRequests_.push_back({ .request = request,
+        .exchange = exchange,
+        .arrivedAt = now,
+        .refuseAt = std::min(now + maxConfigurationWait, responseDeadline(request, now)) });
+}
+
+void ClientRequestHandler::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (queues_)
+        handle(request, exchange, monotonicNow());
+    else
+        keepUntilConfigured(request, exchange);
+}
+
+void ClientRequestHandler::handle(
+    const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange, TimePoint arrivedAt)
+{
     const std::string path = request.target.substr(0, request.target.find('?'));
     const auto queues = queues_;
     const auto* queue = queues->find(request.host, path);
@@ -102,15 +151,15 @@
         return;
     }
     if (request.method == "POST")
-        submit(*queue, id, request, exchange);
+        submit(*queue, id, request, exchange, arrivedAt);
     else if (request.method == "GET" || request.method == "DELETE")
-        queryOrCancel(JobId(id), request.method == "DELETE", request, exchange);
+        queryOrCancel(JobId(id), request.method == "DELETE", request, exchange, arrivedAt);
     else
         exchange->respond(Platform::badRequest("method " + request.method + " is not supported"));
 }
 
 void ClientRequestHandler::submit(const QueueConfig& queue, const std::string& id, const HttpRequest& request,
-    const std::shared_ptr<HttpExchange>& exchange)
+    const std::shared_ptr<HttpExchange>& exchange, TimePoint arrivedAt)
 {
     Platform::JobSubmission submission;
     try {
@@ -136,7 +185,6 @@
             context_.log.event("job.abandoned", { { "id", id }, { "ms", std::int64_t { 0 } } });
         return;
     }
-    const auto arrivedAt = monotonicNow();
     const auto queueLabel = "queue=\"" + queue.name.value + "\"";
     Duration declaredRunTime {};
     for (const auto& step : submission.spec.steps)
@@ -177,10 +225,9 @@
     return timeout ? arrivedAt + *timeout : TimePoint::max();
 }
 
-void ClientRequestHandler::queryOrCancel(
-    const JobId& id, bool cancel, const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+void ClientRequestHandler::queryOrCancel(const JobId& id, bool cancel, const HttpRequest& request,
+    const std::shared_ptr<HttpExchange>& exchange, TimePoint arrivedAt)
 {
-    const auto arrivedAt = monotonicNow();
     const auto callback = [this, exchange, id, cancel](const JobAnswer& answer) {
         context_.metrics.add(cancel ? "balsammill_cancellations_total" : "balsammill_state_queries_total",
             std::string("outcome=\"") + nameOf(answer.kind) + "\"");
--- a/libs/node/src/clients/ClientRequestHandler.h
+++ b/libs/node/src/clients/ClientRequestHandler.h
@@ -7,6 +7,7 @@
 #include "balsammill/routing/RoutingConfig.h"
 
 #include <memory>
+#include <vector>
 
 namespace Balsammill {
 
@@ -15,22 +16,38 @@
 public:
     ClientRequestHandler(NodeContext&, JobClient&);
 
-    /// Sets the queues of the current configuration. Requests are refused until the first call.
+    /// Sets the queues of the current configuration, and handles the requests that waited for the first one.
     void setQueues(std::shared_ptr<const QueueTable>);
+    /// Refuses requests that have waited too long for the first configuration.
+    void advance(TimePoint now);
     /// Sets the time at which the process exits. Jobs that are not expected to finish before it are refused from now
     /// on.
     void stopAt(TimePoint time) { stopAt_ = time; }
     void handle(const HttpRequest&, const std::shared_ptr<HttpExchange>&);
 
 private:
-    void submit(const QueueConfig&, const std::string& id, const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+    // A request that arrived before the first configuration.
+    struct EarlyRequest {
+        HttpRequest request;
+        std::shared_ptr<HttpExchange> exchange;
+        TimePoint arrivedAt {};
+        TimePoint refuseAt {};
+    };
+
+    void handle(const HttpRequest&, const std::shared_ptr<HttpExchange>&, TimePoint arrivedAt);
+    void keepUntilConfigured(const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+    void refuseUnconfigured(HttpExchange&);
+    void submit(const QueueConfig&, const std::string& id, const HttpRequest&, const std::shared_ptr<HttpExchange>&,
+        TimePoint arrivedAt);
     /// Queries the state of a durable job, or cancels the job.
-    void queryOrCancel(const JobId&, bool cancel, const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+    void queryOrCancel(
+        const JobId&, bool cancel, const HttpRequest&, const std::shared_ptr<HttpExchange>&, TimePoint arrivedAt);
     static TimePoint responseDeadline(const HttpRequest&, TimePoint arrivedAt);
 
     NodeContext& context_;
     JobClient& jobs_;
     std::shared_ptr<const QueueTable> queues_;
+    std::vector<EarlyRequest> earlyRequests_;
     TimePoint stopAt_ { TimePoint::max() };
 };
 
