Redirect jobs to shards that have a tenth more capacity than they need

Half as much again was demanded of the other shard, so that jobs of eight tasks were refused while upstreams of other shards were free. The new test refuses the job with the old margin (112 of 168 cores).

--- a/libs/shards/src/Admission.cpp
+++ b/libs/shards/src/Admission.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // The reported load is up to one status interval old, so the other shard must have more capacity than the job needs.
-constexpr double capacityMargin = 1.5;
+constexpr double capacityMargin = 1.1;
 constexpr Duration minRetryAfter = std::chrono::milliseconds(200);
 // If no upstream can run the job, a retry can succeed only after the set of upstreams has changed.
 constexpr Duration retryAfterIfImpossible = std::chrono::seconds(5);
--- a/libs/shards/tests/AdmissionTests.cpp
+++ b/libs/shards/tests/AdmissionTests.cpp
@@ -38,6 +38,21 @@
     CHECK_EQ(std::get<RedirectToShard>(decision).shard.value, "b/0");
 }
 
+// Guards against refusing jobs of many tasks while upstreams of another shard are free: a shard rarely has much more
+// capacity than such a job needs.
+TEST_CASE("A late job is redirected to an idle shard that has little more capacity than the job needs")
+{
+    const auto spec = makeSpec({ .tasks = 8, .milliCores = 14'000 });
+    const AdmissionRequest request { .job = spec,
+        .forecast = lateForecast(),
+        .others = { { .name = ShardName("a/0"), .freeMilliCores = 112'000, .waitingJobs = 0 },
+            { .name = ShardName("b/0"), .freeMilliCores = 128'000, .waitingJobs = 0 } },
+        .now = at(0) };
+    const auto decision = decideAdmission(request);
+    REQUIRE(std::holds_alternative<RedirectToShard>(decision));
+    CHECK_EQ(std::get<RedirectToShard>(decision).shard.value, "b/0");
+}
+
 // Guards against clients that retry too early: after the returned time the same job would meet its objective.
 TEST_CASE("A job that can meet its objective on no shard is rejected, to be retried after the time by which it is late")
 {
