Grant nothing more until a request without an answer is voided

Found by ResendProperties (schedule 113,376), two runs of a task: all copies of one check granted a lease; one copy was carried out late, the last one was lost, and the owner stood still before a later request was answered. Copies of a check now carry a raised token and no grant, and nothing is granted while an earlier grant is in doubt, so at most one grant can be late and every later request voids it.

RestartTests: the case of a lost answer drops the poll and the first check too.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -270,8 +270,10 @@
 {
     sent.afterExpiry = leases_.hasUnreportedExpiry(sent.sentAt);
     sent.acknowledgedEnd = engine_.lastEndToAcknowledge(id_);
-    // An upstream that does not answer gets no leases, so that its runs are over within a known time.
-    const bool mayGrant = confirmed_ && !failing_ && !sent.afterExpiry && leases_.isRenewalDue(sent.sentAt);
+    // An upstream that does not answer gets no leases, so that its runs are over within a known time. At most one grant
+    // is without an answer at a time: copies, which have raised tokens, only keep it from being carried out late.
+    const bool mayGrant = confirmed_ && !failing_ && !sent.afterExpiry && sent.copy == 0 && !grantInDoubt_
+        && leases_.isRenewalDue(sent.sentAt);
     if (mayGrant && engine_.needsLease(id_, sent.sentAt)) {
         const auto length = permittedLease(sent.sentAt, context_.settings.maxLease);
         if (length > Duration::zero())
--- a/libs/shards/tests/ResendProperties.cpp
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -80,11 +80,17 @@
     CHECK_EQ(ResendSimulation(1208196639, {}).run(), "");
 }
 
+// Guards against several late grants of one check, when its owner stands still before a later request is answered.
+TEST_CASE("A grant without an answer is not repeated before a request with a raised token is answered")
+{
+    CHECK_EQ(ResendSimulation(950408416, {}).run(), "");
+}
+
 // Guards against a simulation in which the rules that it is meant to check make no difference.
 TEST_CASE("The schedules with resent jobs find two runs of a task if confirmations, clocks or tokens do not bound them")
 {
     CHECK(runSchedules({ .confirmation = Confirmation::Off }, maxSchedulesToFind));
     CHECK(runSchedules({ .confirmation = Confirmation::OfConnectionsOnly }, maxSchedulesToFind));
     CHECK(runSchedules({ .clocksStand = true }, maxSchedulesToFind));
-    CHECK(runSchedules({ .raisesTokens = false }, maxSchedulesToFind));
+    CHECK(runSchedules({ .limitsLateGrants = false }, maxSchedulesToFind));
 }
--- a/libs/shards/tests/ResendSimulation.cpp
+++ b/libs/shards/tests/ResendSimulation.cpp
@@ -27,7 +27,7 @@
     world_.now = startAt;
     world_.confirmation = options.confirmation;
     world_.clocksStand = options.clocksStand;
-    world_.raisesTokens = options.raisesTokens;
+    world_.limitsLateGrants = options.limitsLateGrants;
     world_.traced = options.traced;
     for (int shard = 0; shard < SimulatedWorld::shardCount; ++shard)
         world_.records[shard] = { .epoch = 1, .owner = { .place = shard, .incarnation = 1 }, .handedOverBy = {} };
--- a/libs/shards/tests/ResendSimulation.h
+++ b/libs/shards/tests/ResendSimulation.h
@@ -12,7 +12,7 @@
     struct Options {
         Confirmation confirmation { Confirmation::On };
         bool clocksStand { false };
-        bool raisesTokens { true };
+        bool limitsLateGrants { true };
         bool traced { false };
     };
 
--- a/libs/shards/tests/SimulatedSession.cpp
+++ b/libs/shards/tests/SimulatedSession.cpp
@@ -72,7 +72,7 @@
         doubt();
         if (closed_ || copies->finished)
             return;
-        if (copies->grant && process_.world.raisesTokens)
+        if (copies->grant && process_.world.limitsLateGrants)
             tokens_.raise();
     }
     SentRequest sent { .token = tokens_.current(), .sentAt = process_.now(), .copy = copy };
@@ -94,7 +94,7 @@
         if (self->closed_)
             return;
         const bool copyInDoubt = answer == Answer::None || sent.copy < copies->last;
-        if (copies->grant && copyInDoubt && self->process_.world.raisesTokens) {
+        if (copies->grant && copyInDoubt && self->process_.world.limitsLateGrants) {
             self->tokens_.raise();
             self->grantInDoubt_ = true;
         }
@@ -233,7 +233,8 @@
         [this](SentRequest& sent) {
             ReportRequest request { .deadline = {}, .lastSeen = engine_.lastEndToAcknowledge(id_), .waitMs = 0 };
             sent.afterExpiry = hasUnreportedExpiry();
-            if (confirmed_ && !failing_ && !sent.afterExpiry && isRenewalDue())
+            const bool othersUnanswered = process_.world.limitsLateGrants && (sent.copy > 0 || grantInDoubt_);
+            if (confirmed_ && !failing_ && !sent.afterExpiry && !othersUnanswered && isRenewalDue())
                 request.deadline = grantLease(permittedLease(SimulatedWorld::maxLeaseMs), sent);
             return request;
         },
--- a/libs/shards/tests/SimulatedWorld.h
+++ b/libs/shards/tests/SimulatedWorld.h
@@ -100,8 +100,9 @@
     Confirmation confirmation { Confirmation::On };
     /// The clock of a process does not count the time for which it stands still.
     bool clocksStand { false };
-    /// Owners raise their fencing token when a grant gets no answer.
-    bool raisesTokens { true };
+    /// Owners raise their fencing token when a grant gets no answer, and grant nothing more until a request is
+    /// answered.
+    bool limitsLateGrants { true };
     std::map<int, ShardRecord> records;
     std::string violation;
     std::uint64_t runsStarted { 0 };
--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -104,6 +104,11 @@
     loop_.run([&] { lateGrants_ = grants; });
 }
 
+void OperatorUpstream::dropNextReports(int reports)
+{
+    loop_.run([&] { reportsToDrop_ = reports; });
+}
+
 void OperatorUpstream::delayShareOfOrders(double share)
 {
     loop_.run([&] { delayedShare_ = share; });
@@ -369,6 +374,10 @@
     if (hold.leaseExpiryMs)
         extendLease(*hold.leaseExpiryMs);
     std::erase_if(endedRuns_, [&hold](const EndedRun& each) { return each.sequence <= hold.lastSeen; });
+    if (reportsToDrop_ > 0) {
+        --reportsToDrop_;
+        return;
+    }
     if (!endedRuns_.empty() || hold.waitMs == 0) {
         exchange->respond({ .status = 200, .fields = {}, .body = statusReport() });
         return;
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -65,6 +65,8 @@
     /// Grants the leases of these reports after their delay or never, and leaves the reports unanswered. A late grant
     /// has the length that it had when the request was received.
     void delayGrants(const LateRequests& grants);
+    /// Leaves the next requests for a report, up to the given number, unanswered.
+    void dropNextReports(int reports);
     /// Leaves this share, from 0 to 1, of the starts, stops and grants unanswered and executes them 2 to 12 s later. A
     /// late lease has the length that it had when the request was received.
     void delayShareOfOrders(double share);
@@ -138,6 +140,7 @@
     int startsToDelay_ { 0 };
     int startDelayMs_ { 0 };
     int stopsToRefuse_ { 0 };
+    int reportsToDrop_ { 0 };
     LateRequests lateStops_;
     LateRequests lateGrants_;
     double delayedShare_ { 0 };
--- a/tests/platform/RestartTests.cpp
+++ b/tests/platform/RestartTests.cpp
@@ -71,8 +71,11 @@
     REQUIRE(fleet.waitUntilReady());
     fleet.forbidRepeatedTasks();
     for (int i = 1; i <= jobs; ++i) {
-        for (std::size_t upstream = 0; upstream < fleet.upstreamCount(); ++upstream)
+        for (std::size_t upstream = 0; upstream < fleet.upstreamCount(); ++upstream) {
             fleet.upstream(upstream).dropNextAnswers(1);
+            // The long poll and the first check.
+            fleet.upstream(upstream).dropNextReports(2);
+        }
         CHECK_EQ(fleet.submit(static_cast<std::size_t>(i) % 2, jobId(i), 2).status, 200);
     }
     CHECK_EQ(fleet.violations(), "");
