Leave a start open while another copy of it may have been carried out

Cause, by reading the trace and the code: when the first copy of a start was refused after a later one had been sent, the refusal counted as "never started" and the task was placed again, although the later copy had started the run. Every refusal of a start of which several copies were sent is now decided by a report.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -127,6 +127,7 @@
                 self->tokens_.raise();
                 self->grantInDoubt_ = true;
             }
+            copies->answered.repeated = copies->last > 0;
             handle(answer, result, copies->answered);
         });
 }
@@ -157,14 +158,14 @@
         },
         [this, start, mayHaveRun](Answer answer, const HttpResult& result, const SentRequest& sent) {
             const auto now = monotonicNow();
-            const bool earlierCopy = mayHaveRun || sent.copy > 0;
+            const bool anotherMayHaveRun = mayHaveRun || sent.repeated;
             if (answer == Answer::Superseded) {
                 if (maySendAgain(start, now))
-                    sendStart(start, earlierCopy);
+                    sendStart(start, anotherMayHaveRun);
                 else
                     resolveByReport(start, now);
             } else if (answer == Answer::Usable) {
-                handleStartAnswer(start, *result.response, sent, earlierCopy, now);
+                handleStartAnswer(start, *result.response, sent, anotherMayHaveRun, now);
             } else if (result.neverSent && !mayHaveRun) {
                 context_.metrics.add("balsammill_starts_total", R"(outcome="unreachable")");
                 engine_.handleStartRefused(id_, start.task, start.run, Shards::StartRefusal::Unhealthy, now);
@@ -193,7 +194,7 @@
 }
 
 void UpstreamSession::handleStartAnswer(const Shards::StartTask& start, const HttpResponse& response,
-    const SentRequest& sent, bool earlierCopy, TimePoint now)
+    const SentRequest& sent, bool mayHaveRun, TimePoint now)
 {
     try {
         if (Platform::isOtherIncarnation(response)) {
@@ -207,8 +208,8 @@
             context_.log.event("task.start_refused",
                 { { "id", start.task.job.value }, { "upstream", id_.value },
                     { "status", std::uint64_t { response.status } }, { "body", response.body } });
-            // The run of an earlier copy may have ended already, and then later copies are refused.
-            if (earlierCopy) {
+            // Another copy may have started the run, which may even have ended already.
+            if (mayHaveRun) {
                 resolveByReport(start, now);
                 return;
             }
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -50,6 +50,8 @@
         Shards::FencingToken token {};
         TimePoint sentAt {};
         std::size_t copy { 0 };
+        // Other copies were sent, which may be carried out too.
+        bool repeated { false };
         std::optional<UpstreamLeases::Grant> lease {};
         std::uint64_t acknowledgedEnd { 0 };
         // The lease had expired when the report was requested, and the engine does not know it yet.
@@ -84,7 +86,7 @@
     /// mayHaveRun: an earlier request may have started the run.
     void sendStart(const Shards::StartTask&, bool mayHaveRun);
     void handleStartAnswer(
-        const Shards::StartTask&, const HttpResponse&, const SentRequest&, bool earlierCopy, TimePoint now);
+        const Shards::StartTask&, const HttpResponse&, const SentRequest&, bool mayHaveRun, TimePoint now);
     /// The next report decides whether the run was started; if not, it never will be.
     void resolveByReport(const Shards::StartTask&, TimePoint now);
     /// No start is placed on the upstream until a report shows that it is reachable.
--- a/libs/shards/tests/SimulatedSession.h
+++ b/libs/shards/tests/SimulatedSession.h
@@ -31,6 +31,8 @@
         FencingToken token {};
         int sentAt { 0 };
         int copy { 0 };
+        /// Other copies were sent, which may be carried out too.
+        bool repeated { false };
         /// When to extend the lease that the request grants; unset if it grants none.
         std::optional<int> renewAt {};
         bool afterExpiry { false };
