Add a review case: a zone without entries keeps its jobs from everyone

LOST: jobs that were accepted are neither known nor run when the machines of their zone are lost for good. Adds the stand-ins that the scripts start.

--- /dev/null
+++ b/review/standin/Cases.cc
@@ -0,0 +1,18 @@
+#include "Cases.hh"
+
+namespace Review {
+
+const std::map<std::string, Case>& cases()
+{
+    static const std::map<std::string, Case> all {
+        { "zone-without-entries", zoneWithoutEntries },
+        { "home-shard-without-worker", homeShardWithoutWorker },
+        { "probation-without-end", probationWithoutEnd },
+        { "reservation-without-end", reservationWithoutEnd },
+        { "refused-although-stored", refusedAlthoughStored },
+        { "refused-after-start", refusedAfterStart },
+    };
+    return all;
+}
+
+} // namespace Review
