--- a/review/standin/Cases.cc
+++ b/review/standin/Cases.cc
@@ -8,6 +8,7 @@
         { "zone-without-entries", zoneWithoutEntries },
         { "home-shard-without-worker", homeShardWithoutWorker },
         { "probation-without-end", probationWithoutEnd },
+        { "count-without-refused-start", countWithoutRefusedStart },
         { "reservation-without-end", reservationWithoutEnd },
         { "refused-although-stored", refusedAlthoughStored },
         { "refused-after-start", refusedAfterStart },
--- a/review/standin/Cases.hh
+++ b/review/standin/Cases.hh
@@ -25,6 +25,7 @@
 int zoneWithoutEntries(const CaseContext&);
 int homeShardWithoutWorker(const CaseContext&);
 int probationWithoutEnd(const CaseContext&);
+int countWithoutRefusedStart(const CaseContext&);
 int reservationWithoutEnd(const CaseContext&);
 int refusedAlthoughStored(const CaseContext&);
 int refusedAfterStart(const CaseContext&);
--- a/review/standin/Refusals.cc
+++ b/review/standin/Refusals.cc
@@ -29,7 +29,8 @@
             .labels = { "a", "r-north0" },
             .milliCores = 32'000 });
     Deployment deployment(record, context.program,
-        { .zones = { { .name = "north", .entries = entries } }, .workers = workers,
+        { .zones = { { .name = "north", .entries = entries } },
+            .workers = workers,
             .targetMs = 1700,
             .secondTargetMs = 0,
             .stretch = 4.0 });
@@ -45,7 +46,8 @@
     std::vector<std::thread> threads;
     const auto begin = Clock::now();
     std::size_t sent = 0;
-    // Every job is sent once, to an entry that stays, and has one task on 20 of a worker's 32 cores: four run at a time.
+    // Every job is sent once, to an entry that stays, and has one task on 20 of a worker's 32 cores: four run at a
+    // time.
     const auto send = [&](int queue, const std::string& body, int deadlineMs) {
         const auto id = jobId(0x4000 + round * 0x100 + static_cast<int>(sent));
         const auto entry = (owner + 1 + sent++ % (entries - 1)) % entries;
--- a/review/standin/WaitingJobs.cc
+++ b/review/standin/WaitingJobs.cc
@@ -169,8 +169,7 @@
     const auto load = watch(deployment, workers, "", workers[0].id, idleSpan);
     const auto toMs = record.nowMs();
     record.line("in the last 3 s: at most " + std::to_string(load.most) + " of " + std::to_string(load.capacity)
-        + " thousandths of a core in use, at least " + std::to_string(load.freeOnTarget) + " free on "
-        + workers[0].id);
+        + " thousandths of a core in use, at least " + std::to_string(load.freeOnTarget) + " free on " + workers[0].id);
     int unanswered = 0;
     int stuck = 0;
     for (const auto& id : accepted) {
@@ -226,8 +225,8 @@
         std::erase_if(runs, [&](const RunSeen& run) { return run.task != task; });
         if (runsDuring(runs, fromMs, toMs))
             continue;
-        record.line("task " + task + " that lasts did not run for 3 s; it was started "
-            + std::to_string(runs.size()) + " times");
+        record.line("task " + task + " that lasts did not run for 3 s; it was started " + std::to_string(runs.size())
+            + " times");
         ++stuck;
     }
     record.line("job " + id + " is " + deployment.stateOf(id));
@@ -235,6 +234,40 @@
     return stuck > 0 && capacity ? broken : held;
 }
 
+int countWithoutRefusedStart(const CaseContext& context)
+{
+    auto& record = context.record;
+    const auto workers = workersOf("north", 11, 1);
+    const std::string target = "w-north-b11";
+    Deployment deployment(record, context.program,
+        { .zones = { { .name = "north", .entries = 2 } }, .workers = workers, .targetMs = 2000 });
+    if (!deployment.waitUntilReady())
+        return couldNotRun;
+    std::this_thread::sleep_for(Ms(1000));
+    const auto id = jobId(0x7000);
+    const auto filling = jobId(0x7001);
+    if (context.disrupted)
+        deployment.worker(target).beUnhealthy(2, 5);
+    const auto answer
+        = deployment.post(0, id, jobBody("300 4000", 1, 4000, 300, R"(,"requirements":"b")"), clientTimeout);
+    std::this_thread::sleep_for(Ms(200));
+    // Takes the whole worker as soon as it is used again.
+    const auto second = deployment.post(1, filling,
+        jobBody("0 32000 lasts", 1, 32'000, 1000, R"(,"requirements":"b")", R"("long_running":true,)"), clientTimeout);
+    std::this_thread::sleep_for(Ms(6300));
+    if (context.disrupted)
+        deployment.worker(target).beUnhealthy(0, 0);
+    // visible_ms 3,000 and 2 s, and calm.
+    std::this_thread::sleep_for(Ms(8000));
+    const auto waiting = deployment.request(1, "GET", "/lohu930/", {}, Ms(2000));
+    const bool begun = !record.runsOf(id).empty();
+    record.line("job " + id + " was answered " + std::to_string(answer.status) + ", has "
+        + (begun ? "begun" : "not begun") + "; the entry says " + std::to_string(waiting.status) + " " + waiting.body);
+    if (answer.status / 100 != 2 || second.status / 100 != 2 || waiting.status != 200)
+        return couldNotRun;
+    return !begun && waiting.body.find("\"waiting\":0") != std::string::npos ? broken : held;
+}
+
 int reservationWithoutEnd(const CaseContext& context)
 {
     auto& record = context.record;
--- a/review/standin/Worker.hh
+++ b/review/standin/Worker.hh
@@ -19,7 +19,8 @@
 namespace Review {
 
 /// A sound worker by PROTOCOL.md ("Running tasks", "Service discovery"). The text of a task is "RUN_MS CPU" with an
-/// optional third word: "lasts" (the task runs until it is stopped) or "fails1" (run 1 fails by its own fault, after 0.3 s).
+/// optional third word: "lasts" (the task runs until it is stopped) or "fails1" (run 1 fails by its own fault, after
+/// 0.3 s).
 class Worker {
 public:
     struct Options {
