--- a/review/standin/Cases.cc
+++ b/review/standin/Cases.cc
@@ -9,6 +9,7 @@
         { "home-shard-without-worker", homeShardWithoutWorker },
         { "probation-without-end", probationWithoutEnd },
         { "count-without-refused-start", countWithoutRefusedStart },
+        { "done-and-run-again", doneAndRunAgain },
         { "reservation-without-end", reservationWithoutEnd },
         { "refused-although-stored", refusedAlthoughStored },
         { "refused-after-start", refusedAfterStart },
--- a/review/standin/Cases.hh
+++ b/review/standin/Cases.hh
@@ -26,6 +26,7 @@
 int homeShardWithoutWorker(const CaseContext&);
 int probationWithoutEnd(const CaseContext&);
 int countWithoutRefusedStart(const CaseContext&);
+int doneAndRunAgain(const CaseContext&);
 int reservationWithoutEnd(const CaseContext&);
 int refusedAlthoughStored(const CaseContext&);
 int refusedAfterStart(const CaseContext&);
--- a/review/standin/Deployment.cc
+++ b/review/standin/Deployment.cc
@@ -1,5 +1,7 @@
 #include "Deployment.hh"
 
+#include "Ports.hh"
+
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -44,7 +46,8 @@
     return bound;
 }
 
-// Below the range of ports that the system gives out by itself; a block a process.
+} // namespace
+
 int nextPort()
 {
     static int next = 12'000 + static_cast<int>(::getpid() % 180) * 100;
@@ -53,8 +56,6 @@
     return next++;
 }
 
-} // namespace
-
 std::string jobId(int number)
 {
     char text[17];
@@ -93,8 +94,11 @@
     store_->put("op", "config", config.str());
     for (const auto& each : options.workers)
         workers_.push_back(std::make_unique<Worker>(loop_, *store_, record_, each));
-    for (const auto& each : workers_)
+    // Heartbeats of different workers are spread over the interval.
+    for (const auto& each : workers_) {
         each->begin();
+        std::this_thread::sleep_for(Ms(1500 / static_cast<int>(workers_.size())));
+    }
     for (const auto& zone : options.zones) {
         for (int i = 0; i < zone.entries; ++i) {
             Entry entry { .name = "front-" + zone.name + "-" + std::to_string(i),
--- a/review/standin/Record.cc
+++ b/review/standin/Record.cc
@@ -28,7 +28,8 @@
 std::size_t Record::started(const std::string& task, std::uint64_t run, const std::string& worker)
 {
     const std::lock_guard lock(mutex_);
-    runs_.push_back({ .task = task, .run = run, .worker = worker, .startedMs = nowMs(), .endedMs = -1, .how = {} });
+    runs_.push_back(
+        { .task = task, .run = run, .worker = worker, .startedMs = nowMs(), .endedMs = -1, .how = {}, .noted = false });
     write("worker " + worker + " starts " + task + " run " + std::to_string(run));
     return runs_.size() - 1;
 }
@@ -42,6 +43,15 @@
     write("worker " + run.worker + " ends " + run.task + " run " + std::to_string(run.run) + " " + how);
 }
 
+void Record::noted(std::size_t index, std::uint64_t lastSeen)
+{
+    const std::lock_guard lock(mutex_);
+    auto& run = runs_[index];
+    run.noted = true;
+    write("worker " + run.worker + " is told last_seen " + std::to_string(lastSeen) + " and forgets the end " + run.how
+        + " of " + run.task + " run " + std::to_string(run.run));
+}
+
 std::vector<RunSeen> Record::runs()
 {
     const std::lock_guard lock(mutex_);
--- a/review/standin/Record.hh
+++ b/review/standin/Record.hh
@@ -22,6 +22,8 @@
     /// Negative while the run goes on.
     std::int64_t endedMs { -1 };
     std::string how;
+    /// A request with a `last_seen` that reaches the end has come, and the worker's lease has not lapsed in between.
+    bool noted { false };
 };
 
 /// What clients, workers and the platform have seen, in memory for the check and as text in record.txt.
@@ -34,6 +36,7 @@
 
     std::size_t started(const std::string& task, std::uint64_t run, const std::string& worker);
     void ended(std::size_t index, const std::string& how);
+    void noted(std::size_t index, std::uint64_t lastSeen);
     std::vector<RunSeen> runs();
     /// Runs of a job, by the first part of the task's name.
     std::vector<RunSeen> runsOf(const std::string& job);
--- a/review/standin/Worker.cc
+++ b/review/standin/Worker.cc
@@ -1,10 +1,13 @@
 #include "Worker.hh"
 
+#include "Ports.hh"
+
 #include <rapidjson/document.h>
 
 #include <algorithm>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace Review {
 
@@ -39,6 +42,7 @@
     , store_(store)
     , record_(record)
     , options_(options)
+    , random_(std::hash<std::string> {}(options.id))
 {
 }
 
@@ -49,6 +53,7 @@
         for (auto& [task, run] : runs_)
             run.timer->cancel();
         waiters_.clear();
+        unanswered_.clear();
         leaseTimer_.reset();
         server_.reset();
     });
@@ -60,15 +65,29 @@
         bornMs_ = std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count();
         startedAt_ = Clock::now();
         leaseTimer_ = std::make_unique<boost::asio::steady_timer>(loop_.context());
-        server_ = std::make_unique<Balsammill::HttpServer>(loop_.context(), Balsammill::NetworkAddress("127.0.0.1:0"),
+        const auto address = address_.empty() ? "127.0.0.1:" + std::to_string(nextPort()) : address_;
+        server_ = std::make_unique<Balsammill::HttpServer>(loop_.context(), Balsammill::NetworkAddress(address),
             [this](const HttpRequest& request, const Exchange& exchange) { handle(request, exchange); });
         address_ = server_->localAddress().value;
         up_ = true;
     });
-    heartbeat();
+    if (std::exchange(beats_, true))
+        registerOnce();
+    else
+        heartbeat();
 }
 
 void Worker::heartbeat()
+{
+    registerOnce();
+    std::thread([this, alive = std::weak_ptr<bool>(alive_)] {
+        std::this_thread::sleep_for(heartbeat_);
+        if (!alive.expired())
+            heartbeat();
+    }).detach();
+}
+
+void Worker::registerOnce()
 {
     std::string text;
     const bool up = loop_.run([&] {
@@ -88,28 +107,52 @@
     });
     if (up)
         store_.put("servers", options_.id, text);
-    std::thread([this, alive = std::weak_ptr<bool>(alive_), up] {
-        if (!up)
-            return;
-        std::this_thread::sleep_for(heartbeat_);
-        if (!alive.expired())
-            heartbeat();
-    }).detach();
 }
 
-void Worker::loseForGood()
+void Worker::stopServing(const std::string& how)
 {
-    loop_.run([this] {
+    loop_.run([&] {
         up_ = false;
         for (auto& [task, run] : runs_) {
             run.timer->cancel();
-            record_.ended(run.seen, "lost with its worker");
+            record_.ended(run.seen, how);
         }
         runs_.clear();
         ended_.clear();
+        highest_.clear();
         waiters_.clear();
+        unanswered_.clear();
+        leaseTimer_.reset();
         server_.reset();
+        leaseEndsMs_ = 0;
+        fence_ = 0;
+        lastEnd_ = 0;
+        sequence_ = 0;
     });
+}
+
+void Worker::crash(Ms down)
+{
+    stopServing("lost with its worker");
+    record_.line("worker " + options_.id + " has crashed");
+    std::this_thread::sleep_for(down);
+    begin();
+    record_.line("worker " + options_.id + " has started again under its id");
+}
+
+void Worker::hang(double share)
+{
+    loop_.run([&] {
+        hanging_ = share;
+        unanswered_.clear();
+    });
+    record_.line(
+        "worker " + options_.id + " leaves a share of " + std::to_string(share) + " of its requests unanswered");
+}
+
+void Worker::loseForGood()
+{
+    stopServing("lost with its worker");
     record_.line("worker " + options_.id + " is lost for good");
     std::thread([this, alive = std::weak_ptr<bool>(alive_)] {
         std::this_thread::sleep_for(3 * heartbeat_);
@@ -184,6 +227,11 @@
         exchange->respond({ .status = 421, .fields = {}, .body = reply() });
         return;
     }
+    if (std::bernoulli_distribution(hanging_)(random_)) {
+        record_.line("worker " + options_.id + " leaves " + request.target + " unanswered, undone");
+        unanswered_.push_back(exchange);
+        return;
+    }
     if (request.target == "/balsammill/run-start")
         handleStart(request.body, exchange);
     else if (request.target == "/balsammill/run-stop")
@@ -196,6 +244,8 @@
 
 void Worker::extendLease(std::int64_t deadlineMs)
 {
+    if (clockMs() > leaseEndsMs_)
+        ++lapses_;
     leaseEndsMs_ = std::max(leaseEndsMs_, std::min(deadlineMs, clockMs() + maxHoldMs));
     leaseTimer_->expires_after(Ms(std::max<std::int64_t>(leaseEndsMs_ - clockMs(), 0)));
     leaseTimer_->async_wait([this](const boost::system::error_code& error) {
@@ -273,7 +323,12 @@
         return;
     found->second.timer->cancel();
     record_.ended(found->second.seen, how);
-    ended_.push_back({ .sequence = ++lastEnd_, .task = task, .run = found->second.number, .how = how });
+    ended_.push_back({ .sequence = ++lastEnd_,
+        .task = task,
+        .run = found->second.number,
+        .how = how,
+        .seen = found->second.seen,
+        .lapses = lapses_ });
     runs_.erase(found);
     answerWaiters();
 }
@@ -336,6 +391,10 @@
     if (json.HasMember("deadline_ms"))
         extendLease(json["deadline_ms"].GetInt64());
     const auto lastSeen = json["last_seen"].GetUint64();
+    for (const auto& end : ended_) {
+        if (end.sequence <= lastSeen && end.lapses == lapses_ && clockMs() <= leaseEndsMs_)
+            record_.noted(end.seen, lastSeen);
+    }
     std::erase_if(ended_, [&](const Ended& end) { return end.sequence <= lastSeen; });
     const int waitMs = json.HasMember("wait_ms") ? json["wait_ms"].GetInt() : 0;
     if (!ended_.empty() || waitMs == 0) {
--- a/review/standin/Worker.hh
+++ b/review/standin/Worker.hh
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,10 @@
     void loseForGood();
     /// Answers the first `refused` of each `of` start requests with 503 and does nothing, as an unhealthy worker may.
     void beUnhealthy(int refused, int of);
+    /// The worker crashes and starts again under its id, at its address, and registers at once.
+    void crash(Ms down);
+    /// Leaves this share of its requests unanswered and does nothing for them.
+    void hang(double share);
     /// Says that it drains.
     void drain();
 
@@ -60,6 +65,8 @@
         std::string task;
         std::uint64_t run { 0 };
         std::string how;
+        std::size_t seen { 0 };
+        std::uint64_t lapses { 0 };
     };
     using Exchange = std::shared_ptr<Balsammill::HttpExchange>;
 
@@ -71,6 +78,8 @@
     void endRun(const std::string& task, const std::string& how);
     void answerWaiters();
     void heartbeat();
+    void registerOnce();
+    void stopServing(const std::string& how);
     void after(std::chrono::milliseconds, std::function<void()>);
     std::string lists() const;
     std::string reply(const std::string& reason = {}) const;
@@ -98,6 +107,12 @@
     int refusedOf_ { 0 };
     int startRequests_ { 0 };
     bool up_ { false };
+    bool beats_ { false };
+    // How often the lease was over when it was extended again.
+    std::uint64_t lapses_ { 0 };
+    double hanging_ { 0 };
+    std::vector<Exchange> unanswered_;
+    std::mt19937_64 random_;
     std::shared_ptr<bool> alive_ { std::make_shared<bool>(true) };
 };
 
