--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -163,9 +163,9 @@
     const auto target = home ? findTarget(*home) : std::nullopt;
     if (target) {
         send(number, request, *target);
-    } else {
-        waitForOwner(request, monotonicNow());
+        return;
     }
+    waitForOwner(request, monotonicNow());
 }
 
 void JobClient::waitForOwner(Request& request, TimePoint now)
@@ -338,6 +338,9 @@
     case OwnerAnswer::Kind::UnknownJob:
         answer(number, { .kind = JobAnswer::Kind::UnknownJob });
         return;
+    case OwnerAnswer::Kind::Unavailable:
+        failUnreachable(number, request);
+        return;
     case OwnerAnswer::Kind::InDoubt:
         // The next owner knows whether a durable job was accepted, and accepts it at most once.
         if (hasHomeShard(request)) {
--- a/libs/node/src/clients/JobMessageCodec.cpp
+++ b/libs/node/src/clients/JobMessageCodec.cpp
@@ -167,7 +167,7 @@
 using Kind = OwnerAnswer::Kind;
 using Answer = balsammill::internal::ShardJobAnswer;
 
-constexpr std::array<std::pair<Kind, Answer::Result>, 9> results { {
+constexpr std::array<std::pair<Kind, Answer::Result>, 10> results { {
     { Kind::Completed, Answer::COMPLETED },
     { Kind::Failed, Answer::FAILED },
     { Kind::Refused, Answer::REFUSED },
@@ -177,6 +177,7 @@
     { Kind::Accepted, Answer::ACCEPTED },
     { Kind::Known, Answer::KNOWN },
     { Kind::UnknownJob, Answer::UNKNOWN_JOB },
+    { Kind::Unavailable, Answer::UNAVAILABLE },
 } };
 
 } // namespace
--- a/libs/node/src/clients/OwnerAnswer.h
+++ b/libs/node/src/clients/OwnerAnswer.h
@@ -24,6 +24,8 @@
         Known,
         /// No durable job has this id.
         UnknownJob,
+        /// The owner cannot tell at present which durable jobs are stored. It has not acted on the request.
+        Unavailable,
     };
     Kind kind { Kind::InDoubt };
     Duration retryAfter {};
--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace Balsammill {
@@ -15,6 +16,9 @@
 // Retry-after value for refused clients; store outages last seconds.
 constexpr Duration outageRetryAfter = std::chrono::seconds(1);
 
+// How long a request waits for the journal to be read: several times as long as that takes on a slow store.
+constexpr Duration journalOpenTimeout = std::chrono::seconds(3);
+
 // Share of the store's write rate for the journals of all shards together; the rest is for claims and renewals.
 constexpr double journalWriteShare = 0.6;
 // Changes that no client waits for are batched for this time; the upstreams keep reporting the finished runs until
@@ -83,18 +87,29 @@
     state_ = State::Open;
     submitDueJobs();
     const auto waiting = std::exchange(deferredUntilOpen_, {});
-    for (const auto& action : waiting)
-        action();
+    for (const auto& deferred : waiting)
+        deferred.action(true);
     handlers_.opened();
     handlers_.schedulingNeeded();
 }
 
-void DurableJobs::runWhenOpen(std::function<void()> action)
+void DurableJobs::runWhenInheritedJobsLoaded(std::function<void(bool)> action)
 {
-    if (state_ == State::Open)
-        action();
+    if (inheritedJobsLoaded())
+        action(true);
     else
-        deferredUntilOpen_.push_back(std::move(action));
+        deferredUntilOpen_.push_back({ .action = std::move(action), .expiresAt = monotonicNow() + journalOpenTimeout });
+}
+
+void DurableJobs::expireDeferred(TimePoint now)
+{
+    const auto firstExpired = std::stable_partition(deferredUntilOpen_.begin(), deferredUntilOpen_.end(),
+        [now](const Deferred& each) { return now < each.expiresAt; });
+    const std::vector<Deferred> expired(
+        std::make_move_iterator(firstExpired), std::make_move_iterator(deferredUntilOpen_.end()));
+    deferredUntilOpen_.erase(firstExpired, deferredUntilOpen_.end());
+    for (const auto& each : expired)
+        each.action(false);
 }
 
 bool DurableJobs::knows(const JobId& id) const { return book_.contains(id); }
@@ -110,7 +125,14 @@
         handlers_.firstDurableJob();
     }
     if (state_ != State::Open) {
-        runWhenOpen([this, spec = std::move(spec), callback = std::move(callback)] { submit(spec, callback); });
+        deferredUntilOpen_.push_back({ .action =
+                                           [this, spec = std::move(spec), callback = std::move(callback)](bool opened) {
+                                               if (opened)
+                                                   submit(spec, callback);
+                                               else
+                                                   callback({ .kind = OwnerAnswer::Kind::Unavailable });
+                                           },
+            .expiresAt = monotonicNow() + journalOpenTimeout });
         return;
     }
     const auto id = spec->id;
@@ -130,7 +152,12 @@
 void DurableJobs::query(const JobId& id, OwnerAnswerCallback callback)
 {
     if (state_ == State::OpeningExisting) {
-        runWhenOpen([this, id, callback = std::move(callback)] { query(id, callback); });
+        runWhenInheritedJobsLoaded([this, id, callback = std::move(callback)](bool loaded) {
+            if (loaded)
+                query(id, callback);
+            else
+                callback({ .kind = OwnerAnswer::Kind::Unavailable });
+        });
         return;
     }
     if (state_ == State::Closed) {
@@ -146,7 +173,12 @@
 void DurableJobs::cancel(const JobId& id, OwnerAnswerCallback callback)
 {
     if (state_ == State::OpeningExisting) {
-        runWhenOpen([this, id, callback = std::move(callback)] { cancel(id, callback); });
+        runWhenInheritedJobsLoaded([this, id, callback = std::move(callback)](bool loaded) {
+            if (loaded)
+                cancel(id, callback);
+            else
+                callback({ .kind = OwnerAnswer::Kind::Unavailable });
+        });
         return;
     }
     if (state_ != State::Open || !book_.cancel(id, unixMs())) {
@@ -283,6 +315,7 @@
 
 void DurableJobs::advance()
 {
+    expireDeferred(monotonicNow());
     if (state_ != State::Open)
         return;
     submitDueJobs();
@@ -294,8 +327,8 @@
 {
     state_ = State::Closed;
     const auto waiting = std::exchange(deferredUntilOpen_, {});
-    for (const auto& action : waiting)
-        action();
+    for (const auto& deferred : waiting)
+        deferred.action(true);
     for (auto* open : { &submitCallbacks_, &cancelCallbacks_ }) {
         const auto callbacks = std::exchange(*open, {});
         for (const auto& [id, callback] : callbacks)
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -46,11 +46,15 @@
     /// True if all durable jobs of earlier owners have been read from the journal, or there are none.
     bool inheritedJobsLoaded() const { return state_ != State::OpeningExisting; }
 
+    /// Calls the action with true once inheritedJobsLoaded() is true or close() was called; with false if the journal
+    /// has not been read within a few seconds, because the store does not answer.
+    void runWhenInheritedJobsLoaded(std::function<void(bool loaded)> action);
+
     /// True if the job is already accepted or being stored, so that it needs no admission decision.
     bool knows(const JobId&) const;
-    /// Stores the job. Answers with Accepted, Refused, InDoubt or NotOwner.
+    /// Stores the job. Answers with Accepted, Refused, InDoubt, Unavailable or NotOwner.
     void submit(std::shared_ptr<const Shards::JobSpec>, OwnerAnswerCallback);
-    /// Answers with Known, UnknownJob or NotOwner.
+    /// Answers with Known, UnknownJob, Unavailable or NotOwner.
     void query(const JobId&, OwnerAnswerCallback);
     /// Answers with Known once the cancellation, or an end of the job that came first, has been written; with
     /// UnknownJob if the store refuses the job's own submission; with InDoubt if close() is called before. Answers as
@@ -86,7 +90,7 @@
 
     void openJournal();
     void handleOpened(const std::vector<ShardJournal::Row>&);
-    void runWhenOpen(std::function<void()>);
+    void expireDeferred(TimePoint now);
     void writeNow();
     void handleWritten(const Shards::JournalBatch&, TimePoint sentAt);
     void handleWriteFailed(const Shards::JournalBatch&);
@@ -100,7 +104,11 @@
     State state_;
     Shards::DurableJobTable book_;
     ShardJournal journal_;
-    std::vector<std::function<void()>> deferredUntilOpen_;
+    struct Deferred {
+        std::function<void(bool opened)> action;
+        TimePoint expiresAt {};
+    };
+    std::vector<Deferred> deferredUntilOpen_;
     std::multimap<JobId, OwnerAnswerCallback> submitCallbacks_;
     std::multimap<JobId, OwnerAnswerCallback> cancelCallbacks_;
     Timer writeTimer_;
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -52,6 +52,8 @@
     // whose leases all expire within maxLeaseLifetime().
     engine_.delayInheritedUntil(
         predecessor_.vm.empty() ? startedAt_ + UpstreamLeases::maxLifetime(context.settings) : TimePoint::max());
+    if (inheritedStateKnown())
+        inheritedStateKnownAt_ = startedAt_;
     durable_.start();
 }
 
@@ -204,6 +206,7 @@
 {
     if (!inheritedStateKnown())
         return;
+    inheritedStateKnownAt_ = std::min(inheritedStateKnownAt_, monotonicNow());
     const auto leasesExpireAt = monotonicNow() + UpstreamLeases::maxLifetime(context_.settings);
     for (const auto& inherited : inheritedDurableJobs_) {
         engine_.mergeProgress(inherited.key, inherited.progress, monotonicNow());
@@ -269,6 +272,10 @@
         callback({ .kind = OwnerAnswer::Kind::NotOwner });
         return;
     }
+    if (spec.durable && !durable_.inheritedJobsLoaded()) {
+        deferDurable(submitter, std::move(spec), age, std::move(callback));
+        return;
+    }
     if (spec.durable && durable_.knows(spec.id)) {
         submitDurable(std::move(spec), std::move(callback));
         return;
@@ -358,7 +365,10 @@
     const auto now = monotonicNow();
     // A forecast needs the reports of most upstreams, which arrive within a few round trips.
     const bool mostReported = engine_.load().usableUpstreams * 4 >= upstreams_.size() * 3;
-    if (now - startedAt_ < startupPeriod && (!mostReported || upstreams_.empty()))
+    // Sessions are opened after the journal has been read, which takes long when the store is slow.
+    const bool starting
+        = now < startedAt_ + startupPeriod || (spec.durable && now - startupPeriod < inheritedStateKnownAt_);
+    if (starting && (!mostReported || upstreams_.empty()))
         return Shards::AcceptJob {};
     // Long-running and scheduled jobs have no completion forecast; they only have to be placeable.
     const bool withoutForecast = spec.longRunning || spec.schedule;
@@ -372,6 +382,19 @@
         .now = now });
 }
 
+void ShardServer::deferDurable(
+    const Submitter& submitter, Shards::JobSpec spec, Duration age, OwnerAnswerCallback callback)
+{
+    const auto arrivedAt = monotonicNow() - age;
+    durable_.runWhenInheritedJobsLoaded(
+        [this, submitter, spec = std::move(spec), arrivedAt, callback = std::move(callback)](bool loaded) {
+            if (loaded)
+                submit(submitter, nullptr, spec, monotonicNow() - arrivedAt, Duration::zero(), false, callback);
+            else
+                callback({ .kind = OwnerAnswer::Kind::Unavailable });
+        });
+}
+
 void ShardServer::submitDurable(Shards::JobSpec spec, OwnerAnswerCallback callback)
 {
     const auto receivedAt = monotonicNow();
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -119,6 +119,8 @@
     void execute(const Shards::TaskAdopted&);
     void execute(const Shards::PermitRequest&);
     Shards::AdmissionDecision admit(const Shards::JobSpec&, const Shards::JobForecast&, bool mayRedirect) const;
+    /// Submits a durable job once the jobs of earlier owners are known: it may be one of them.
+    void deferDurable(const Submitter&, Shards::JobSpec, Duration age, OwnerAnswerCallback);
     void submitDurable(Shards::JobSpec, OwnerAnswerCallback);
     void openAllSessions();
     /// The journal has been read, or the predecessor has sent its state or was lost.
@@ -144,6 +146,8 @@
     Shards::ShardName name_;
     Epoch epoch_;
     TimePoint startedAt_;
+    // When inheritedStateKnown() became true; TimePoint::max() before.
+    TimePoint inheritedStateKnownAt_ { TimePoint::max() };
     Handlers handlers_;
     Shards::ShardEngine engine_;
     DurableJobs durable_;
--- a/tests/platform/DurableJobTests.cpp
+++ b/tests/platform/DurableJobTests.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <thread>
+#include <vector>
 
 using namespace PlatformTest;
 using namespace IntegrationTest;
@@ -201,3 +202,47 @@
     CHECK_EQ(fleet.starts(), 4);
     CHECK_EQ(fleet.violations(), "");
 }
+
+// Guards against a client that is told that its job has not run although it is stored: the owner stores it while it
+// hands its shard over, and the next owner answers before it has read the journal (review case 3).
+TEST_CASE("A job that is stored during a handover is not refused by the next owner [durable]")
+{
+    // An entry that neither owns nor takes over the shard learns of the new owner from the slow store.
+    Fleet fleet({ .name = "durable-slow-handover", .entriesPerDomain = 3, .runMs = 200 });
+    REQUIRE(fleet.waitUntilReady());
+    // The shard has a journal, which the next owner has to read.
+    REQUIRE(storeJob(fleet, 0, jobId(1), 1));
+    fleet.store().setFaults({ .writeDelay = 360ms, .readDelay = 240ms });
+    constexpr int jobs = 60;
+    std::vector<ClientAnswer> answers(jobs);
+    std::vector<std::thread> clients;
+    const auto owner = fleet.ownerOf("valencia");
+    REQUIRE_LT(owner, fleet.entryCount());
+    const auto survivor = (owner + 1) % fleet.entryCount();
+    for (int i = 0; i < jobs; ++i) {
+        if (i == jobs / 3)
+            fleet.entry(owner).signal(SIGTERM);
+        const auto entry = (owner + 1 + static_cast<std::size_t>(i % 2)) % fleet.entryCount();
+        clients.emplace_back([&fleet, &answers, entry, i] {
+            answers[static_cast<std::size_t>(i)] = fleet.submitDurable(entry, jobId(100 + i), 1);
+        });
+        std::this_thread::sleep_for(25ms);
+    }
+    for (auto& client : clients)
+        client.join();
+    fleet.store().setFaults({});
+    int stored = 0;
+    for (int i = 0; i < jobs; ++i) {
+        const auto id = jobId(100 + i);
+        const auto& answer = answers[static_cast<std::size_t>(i)];
+        if (answer.status == 200) {
+            ++stored;
+            CHECK_MESSAGE(fleet.waitForState(id, "completed"), "job ", i, " is ", fleet.stateOf(survivor, id));
+        } else if (answer.status == 429 || answer.status == 503) {
+            CHECK_MESSAGE(fleet.waitForState(id, "410"), "job ", i, " was answered with ", answer.status, " and is ",
+                fleet.stateOf(survivor, id));
+        }
+    }
+    CHECK_GT(stored, 0);
+    CHECK_EQ(fleet.violations(), "");
+}
