Let another failure domain own the shards of one that has no entries

Cause: an entry claimed shards of its own domain only, while the shard of a durable job follows from its id over all domains. Ruled out as a mend by itself: a claim from outside after the usual 2.5 s. A domain that is cut off looks the same, and its owner goes on with upstreams that the claimant cannot reach, hence cannot fence.

Change: an owner acts on durable jobs only until 9 s after the last successful write of its record; starts, leases and unrecorded ends are bounded by that. Entries of other domains claim a shard when its record has been unchanged for 10 s, and hand it back to the first entry of its domain that returns, with its running tasks.

--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -165,7 +165,38 @@
         send(number, request, *target);
         return;
     }
-    waitForOwner(request, monotonicNow());
+    const auto now = monotonicNow();
+    const auto since = home ? unreachableSince_.find(*home) : unreachableSince_.end();
+    if (since == unreachableSince_.end() || now < since->second + homeShardTimeout) {
+        waitForOwner(request, now);
+        return;
+    }
+    boost::asio::post(context_.loop, [this, number] {
+        if (const auto found = requests_.find(number); found != requests_.end())
+            failUnreachable(number, found->second);
+    });
+}
+
+bool JobClient::isReachable(const Shards::ShardName& name) const
+{
+    if (ownership_.serverOf(name) != nullptr)
+        return true;
+    const auto* owner = directory_.find(name);
+    return owner != nullptr && !owner->released && peers_.stateOf(owner->address) == Shards::PeerState::Connected;
+}
+
+void JobClient::noteReachability(TimePoint now)
+{
+    const auto shards = directory_.shardsPerDomain().value_or(0);
+    for (const auto& domain : context_.settings.allDomains) {
+        for (unsigned i = 0; i < shards; ++i) {
+            const auto name = ShardDirectory::shardName(domain, i);
+            if (isReachable(name))
+                unreachableSince_.erase(name);
+            else
+                unreachableSince_.try_emplace(name, now);
+        }
+    }
 }
 
 void JobClient::waitForOwner(Request& request, TimePoint now)
@@ -419,6 +450,7 @@
         if (owner.vm != context_.settings.vm && !owner.released)
             peers_.linkTo(owner.address, now);
     }
+    noteReachability(now);
     std::vector<RequestNumber> waiting;
     std::vector<RequestNumber> lost;
     for (auto& [number, request] : requests_) {
--- a/libs/node/src/clients/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -6,6 +6,7 @@
 #include "peers/PeerNetwork.h"
 
 #include <functional>
+#include <map>
 #include <unordered_map>
 #include <variant>
 
@@ -38,8 +39,9 @@
 
 /// Forwards clients' requests to the owners of shards and returns the answers. A job goes to the reachable shard of
 /// this failure domain with the most free capacity, or to one in another domain if none of this domain can be reached.
-/// A durable job and requests about it go to the home shard that the job id determines; while that shard has no
-/// reachable owner, the request waits.
+/// A durable job and requests about it go to the home shard that the job id determines. While that shard has no
+/// reachable owner, the request waits for a short time, which a planned handover takes; if the shard has been without
+/// one for longer, the request fails at once.
 class JobClient {
 public:
     JobClient(NodeContext&, PeerNetwork&, ShardDirectory&, ShardOwnership&);
@@ -112,6 +114,9 @@
     };
 
     std::optional<Target> findTarget(const Shards::ShardName&) const;
+    /// True if the shard has an owner that this process is or is connected to.
+    bool isReachable(const Shards::ShardName&) const;
+    void noteReachability(TimePoint now);
     std::optional<Target> chooseTarget(const Request&) const;
     RequestNumber add(Request);
     static const JobId& jobIdOf(const Request&);
@@ -135,6 +140,8 @@
     ShardDirectory& directory_;
     ShardOwnership& ownership_;
     std::unordered_map<RequestNumber, Request> requests_;
+    // Since when shards have no reachable owner.
+    std::map<Shards::ShardName, TimePoint> unreachableSince_;
     std::uint64_t lastRequest_ { 0 };
 };
 
--- a/libs/node/src/ownership/ShardDirectory.cpp
+++ b/libs/node/src/ownership/ShardDirectory.cpp
@@ -34,6 +34,8 @@
         .epoch = Epoch(record.epoch()),
         .vm = VmName(record.vm()),
         .incarnation = Incarnation(record.incarnation()),
+        .domain
+        = record.owner_domain().empty() ? domainOf(Shards::ShardName(row.key)) : FailureDomain(record.owner_domain()),
         .address = NetworkAddress(record.peer_address()),
         .renewal = record.renewal(),
         .released = record.released(),
@@ -125,6 +127,7 @@
     record.set_epoch(owner.epoch.value);
     record.set_vm(owner.vm.value);
     record.set_incarnation(owner.incarnation.value);
+    record.set_owner_domain(owner.domain.value);
     record.set_peer_address(owner.address.value);
     record.set_renewal(owner.renewal);
     record.set_released(owner.released);
--- a/libs/node/src/ownership/ShardDirectory.h
+++ b/libs/node/src/ownership/ShardDirectory.h
@@ -17,6 +17,8 @@
     Epoch epoch {};
     VmName vm {};
     Incarnation incarnation {};
+    /// The owner's failure domain, which may be another one than the shard's.
+    FailureDomain domain {};
     NetworkAddress address {};
     std::uint64_t renewal { 0 };
     bool released { false };
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t upstreamsPerShard = 24;
 // Time within which an entry that was asked to take over a shard writes its claim.
 constexpr Duration takeOverRequestTimeout = std::chrono::milliseconds(400);
+// Interval of the offers of a shard to the entries of its own failure domain, which may not reach the store yet.
+constexpr Duration returnOfferInterval = std::chrono::milliseconds(1000);
 // How long a new owner waits for the predecessor's handover data, and the predecessor for a connection to the new
 // owner.
 constexpr Duration handOverTimeout = std::chrono::milliseconds(1500);
@@ -100,9 +102,9 @@
     followUpstreams();
     decideLayout(now);
     registry_.advance(now);
-    if (const auto shards = directory_.shardsPerDomain()) {
-        for (unsigned i = 0; i < *shards; ++i)
-            claimIfDue(ShardDirectory::shardName(context_.settings.domain, i), now);
+    for (const auto& domain : context_.settings.allDomains) {
+        for (unsigned i = 0; i < directory_.shardsPerDomain().value_or(0); ++i)
+            claimIfDue(ShardDirectory::shardName(domain, i), now);
     }
     std::vector<Shards::ShardName> owned;
     for (auto& [name, server] : servers_) {
@@ -118,7 +120,8 @@
             renew(name, now, true);
         else if (now >= state.renewAt || state.recordDurableJobs)
             renew(name, now, false);
-        if (leaving_ && now >= state.nextRequestAt)
+        const bool returns = isRemote(name) && server->predecessor().vm.empty();
+        if ((leaving_ || returns) && now >= state.nextRequestAt)
             requestTakeOver(name, now);
     }
     std::erase_if(outgoingHandOvers_, [&](const OutgoingHandOver& each) {
@@ -150,11 +153,13 @@
         .connectedToOthers = peers_.connectedToAny() || !hasOtherOwner(owner),
         .ownedShards = static_cast<unsigned>(servers_.size()),
         .processorShare = context_.settings.processorShare,
+        .claimantIsRemote = isRemote(name),
         .now = now };
     question.shard.ownedHere = servers_.contains(name);
     question.shard.changedAt = startedAt_ + layoutDelay;
     if (owner != nullptr) {
         question.shard.released = owner->released;
+        question.shard.ownerIsRemote = owner->domain != ShardDirectory::domainOf(name);
         question.shard.ownedByEarlierIncarnation
             = owner->vm == context_.settings.vm && owner->incarnation != context_.incarnation;
         question.shard.changedAt = owner->changedAt;
@@ -177,13 +182,20 @@
     claim(name, from.peer(), monotonicNow());
 }
 
+bool ShardOwnership::isRemote(const Shards::ShardName& name) const
+{
+    return ShardDirectory::domainOf(name) != context_.settings.domain;
+}
+
 void ShardOwnership::requestTakeOver(const Shards::ShardName& name, TimePoint now)
 {
-    const auto candidates = peers_.peersIn(context_.settings.domain);
+    auto candidates = peers_.peersIn(ShardDirectory::domainOf(name));
+    if (candidates.empty() && leaving_)
+        candidates = peers_.peersIn(context_.settings.domain);
     if (candidates.empty())
         return;
     auto& state = recordStates_[name];
-    state.nextRequestAt = now + takeOverRequestTimeout;
+    state.nextRequestAt = now + (leaving_ ? takeOverRequestTimeout : returnOfferInterval);
     const auto& candidate = candidates[state.requestCount++ % candidates.size()];
     context_.log.event("shard.offered", { { "shard", name.value }, { "to", candidate->peer().vm.value } });
     balsammill::internal::ShardPeerMessage message;
@@ -258,7 +270,8 @@
     const PeerLink& from, const Shards::ShardName& name, Epoch epoch, const NetworkAddress& address)
 {
     const auto* server = serverOf(name);
-    if (server == nullptr || server->epoch() >= epoch || !leaving_)
+    const bool offered = leaving_ || isRemote(name);
+    if (server == nullptr || server->epoch() >= epoch || !offered)
         return;
     handOver(
         name, { .epoch = epoch, .vm = from.peer().vm, .incarnation = from.peer().incarnation, .address = address });
@@ -319,6 +332,7 @@
         .epoch = Epoch((previous == nullptr ? 0 : previous->epoch.value) + 1),
         .vm = context_.settings.vm,
         .incarnation = context_.incarnation,
+        .domain = context_.settings.domain,
         .address = context_.settings.peerListen,
         .handedOverBy = handedOverBy.vm,
         .handedOverByIncarnation = handedOverBy.incarnation,
@@ -326,13 +340,14 @@
     const auto row = ShardDirectory::encode(name, next);
     auto& state = recordStates_[name];
     state.writeInFlight = true;
+    noteSent(name, next, now);
     context_.log.event("shard.claiming",
         { { "shard", name.value }, { "epoch", next.epoch.value },
             { "previous", previous == nullptr ? "none" : previous->vm.value },
             { "unchanged_ms", previous == nullptr ? -1 : (now - previous->changedAt).count() / 1000 },
             { "handed_over", handedOverBy.vm.empty() ? "no" : "yes" } });
     store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
-        [this, alive = alive_, name, next](const Platform::RowsResult& result) {
+        [this, alive = alive_, name, next, sentAt = now](const Platform::RowsResult& result) {
             if (!*alive)
                 return;
             auto& recordState = recordStates_[name];
@@ -343,7 +358,7 @@
                 auto written = ShardDirectory::encode(name, next);
                 written.version = result.version;
                 directory_.apply(written, monotonicNow());
-                startServer(name, next);
+                startServer(name, next, sentAt);
                 return;
             }
             adoptRows(result);
@@ -366,8 +381,9 @@
     auto& state = recordStates_[name];
     state.writeInFlight = true;
     state.renewAt = now + renewInterval;
+    noteSent(name, next, now);
     store_.write({ .conditions = { row }, .puts = { row } }, now + writeTimeout,
-        [this, alive = alive_, name, next, release](const Platform::RowsResult& result) {
+        [this, alive = alive_, name, next, release, sentAt = now](const Platform::RowsResult& result) {
             if (!*alive)
                 return;
             auto& recordState = recordStates_[name];
@@ -376,6 +392,8 @@
                 auto written = ShardDirectory::encode(name, next);
                 written.version = result.version;
                 directory_.apply(written, monotonicNow());
+                if (auto* server = serverOf(name))
+                    server->confirmOwnership(sentAt);
                 if (auto* server = serverOf(name);
                     server != nullptr && next.hasDurableJobs && recordState.recordDurableJobs) {
                     recordState.recordDurableJobs = false;
@@ -422,12 +440,31 @@
         dropShard(name, "the record names another owner");
         return;
     }
-    // The record shows that a claim succeeded although its answer has not arrived yet or was lost.
-    if (!serving && isOwnRecord(*owner) && !owner->released && !leaving_)
-        startServer(name, *owner);
+    // The record shows that a write succeeded although its answer has not arrived yet or was lost.
+    if (serving)
+        servers_.at(name)->confirmOwnership(earliestWriteOf(name, *owner));
+    else if (isOwnRecord(*owner) && !owner->released && !leaving_)
+        startServer(name, *owner, earliestWriteOf(name, *owner));
+}
+
+void ShardOwnership::noteSent(const Shards::ShardName& name, const ShardOwner& record, TimePoint now)
+{
+    auto& state = recordStates_[name];
+    if (state.sentEpoch == record.epoch && state.sentRenewal == record.renewal)
+        return;
+    state.sentEpoch = record.epoch;
+    state.sentRenewal = record.renewal;
+    state.firstSentAt = now;
+}
+
+TimePoint ShardOwnership::earliestWriteOf(const Shards::ShardName& name, const ShardOwner& record)
+{
+    const auto& state = recordStates_[name];
+    const bool latest = state.sentEpoch == record.epoch && state.sentRenewal == record.renewal;
+    return latest ? state.firstSentAt : TimePoint {};
 }
 
-void ShardOwnership::startServer(const Shards::ShardName& name, const ShardOwner& record)
+void ShardOwnership::startServer(const Shards::ShardName& name, const ShardOwner& record, TimePoint confirmedAt)
 {
     if (servers_.contains(name))
         return;
@@ -438,7 +475,8 @@
         ShardServer::Options { .name = name,
             .epoch = record.epoch,
             .predecessor = { .vm = record.handedOverBy, .incarnation = record.handedOverByIncarnation },
-            .hasDurableJobs = record.hasDurableJobs },
+            .hasDurableJobs = record.hasDurableJobs,
+            .ownershipConfirmedAt = confirmedAt },
         ShardServer::Handlers { .otherShards = [this, name] { return otherShards(name); },
             .fenced = [this, name] { dropShard(name, "another owner has written or used a higher fencing token"); },
             .recordDurableJobs = [this, name] { recordDurableJobs(name); },
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -12,8 +12,9 @@
 
 namespace Balsammill {
 
-/// Claims shards of this entry's failure domain that have no owner, renews or releases the owned shards, and assigns
-/// upstreams to their servers.
+/// Claims shards that have no owner, renews or releases the owned shards, and assigns upstreams to their servers.
+/// Shards of other failure domains are claimed only if no entry of their domain does so for a long time, and are handed
+/// back to the first one that returns.
 class ShardOwnership {
 public:
     struct Handlers {
@@ -56,6 +57,11 @@
 private:
     struct RecordState {
         bool writeInFlight { false };
+        /// Epoch and renewal of the latest write, and when the first write with these was sent. A write without an
+        /// answer is repeated, and a record does not show which of the attempts wrote it.
+        Epoch sentEpoch {};
+        std::uint64_t sentRenewal { 0 };
+        TimePoint firstSentAt {};
         TimePoint renewAt {};
         TimePoint retryAt {};
         TimePoint nextRequestAt {};
@@ -68,14 +74,23 @@
     void claimIfDue(const Shards::ShardName&, TimePoint now);
     void claim(const Shards::ShardName&, const PeerId& handedOverBy, TimePoint now);
     bool hasOtherOwner(const ShardOwner* excluded) const;
+    /// Asks an entry to take the shard over; one of the shard's own failure domain if any is connected. Without one, a
+    /// leaving process asks entries of its own domain.
     void requestTakeOver(const Shards::ShardName&, TimePoint now);
+    /// True if the shard belongs to another failure domain than this entry.
+    bool isRemote(const Shards::ShardName&) const;
     void notifyTaken(const Shards::ShardName&, const ShardOwner&);
     void handOver(const Shards::ShardName&, const ShardOwner& successor);
     void expireEarlyConfirmations(TimePoint now);
     bool sendHandOver(const HandOver&, const ShardOwner& successor);
     void followUpstreams();
     void renew(const Shards::ShardName&, TimePoint now, bool release);
-    void startServer(const Shards::ShardName&, const ShardOwner&);
+    /// confirmedAt: when the write was sent that made this process the owner.
+    void startServer(const Shards::ShardName&, const ShardOwner&, TimePoint confirmedAt);
+    void noteSent(const Shards::ShardName&, const ShardOwner&, TimePoint now);
+    /// When a write that may have put this record into the store was sent at the earliest; an unset time if it was not
+    /// the latest one.
+    TimePoint earliestWriteOf(const Shards::ShardName&, const ShardOwner&);
     std::vector<Shards::OtherShard> otherShards(const Shards::ShardName& excluded) const;
     /// Marks the shard's record as having durable jobs with the next write of the record.
     void recordDurableJobs(const Shards::ShardName&);
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Balsammill {
 
@@ -52,6 +53,7 @@
     // whose leases all expire within maxLeaseLifetime().
     engine_.delayInheritedUntil(
         predecessor_.vm.empty() ? startedAt_ + UpstreamLeases::maxLifetime(context.settings) : TimePoint::max());
+    confirmOwnership(options.ownershipConfirmedAt);
     if (inheritedStateKnown())
         inheritedStateKnownAt_ = startedAt_;
     durable_.start();
@@ -64,6 +66,14 @@
         session->close();
 }
 
+void ShardServer::confirmOwnership(TimePoint sentAt)
+{
+    ownershipValidUntil_ = std::max(ownershipValidUntil_, sentAt + Shards::ownershipValidity);
+    engine_.setOwnershipValidUntil(ownershipValidUntil_);
+    if (std::exchange(ownershipExpiryLogged_, false))
+        context_.log.event("shard.ownership_confirmed", { { "shard", name_.value }, { "epoch", epoch_.value } });
+}
+
 UpstreamSession* ShardServer::session(const Shards::UpstreamId& id)
 {
     const auto found = sessions_.find(id);
@@ -276,6 +286,10 @@
         deferDurable(submitter, std::move(spec), age, std::move(callback));
         return;
     }
+    if (spec.durable && !mayActOnDurableJobs()) {
+        callback({ .kind = OwnerAnswer::Kind::Unavailable });
+        return;
+    }
     if (spec.durable && durable_.knows(spec.id)) {
         submitDurable(std::move(spec), std::move(callback));
         return;
@@ -395,6 +409,22 @@
         });
 }
 
+void ShardServer::query(const JobId& id, OwnerAnswerCallback callback)
+{
+    if (mayActOnDurableJobs())
+        durable_.query(id, std::move(callback));
+    else
+        callback({ .kind = OwnerAnswer::Kind::Unavailable });
+}
+
+void ShardServer::cancelJob(const JobId& id, OwnerAnswerCallback callback)
+{
+    if (mayActOnDurableJobs())
+        durable_.cancel(id, std::move(callback));
+    else
+        callback({ .kind = OwnerAnswer::Kind::Unavailable });
+}
+
 void ShardServer::submitDurable(Shards::JobSpec spec, OwnerAnswerCallback callback)
 {
     const auto receivedAt = monotonicNow();
@@ -502,6 +532,11 @@
 void ShardServer::advance()
 {
     const auto now = monotonicNow();
+    if (!mayActOnDurableJobs() && !std::exchange(ownershipExpiryLogged_, true))
+        context_.log.event("shard.ownership_unconfirmed",
+            { { "shard", name_.value }, { "epoch", epoch_.value },
+                { "confirmed_ms_ago",
+                    static_cast<std::int64_t>(toMs(now - (ownershipValidUntil_ - Shards::ownershipValidity))) } });
     checkUnconfirmed(now);
     engine_.advance(now);
     durable_.advance();
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -8,6 +8,7 @@
 #include "ownership/HandOver.h"
 
 #include "balsammill/shards/Admission.h"
+#include "balsammill/shards/OwnershipPolicy.h"
 #include "balsammill/shards/ShardEngine.h"
 
 #include <functional>
@@ -45,6 +46,8 @@
         PeerId predecessor {};
         /// The shard's record is marked as having durable jobs.
         bool hasDurableJobs { false };
+        /// When the write of the record that made this process the owner was sent.
+        TimePoint ownershipConfirmedAt {};
     };
 
     ShardServer(NodeContext&, Platform::Store&, const Options&, Handlers);
@@ -54,6 +57,9 @@
     Epoch epoch() const { return epoch_; }
     TimePoint startedAt() const { return startedAt_; }
 
+    /// A write of the shard's record that was sent at this time has succeeded.
+    void confirmOwnership(TimePoint sentAt);
+
     void updateUpstream(const Shards::UpstreamInfo&);
     void removeUpstream(const Shards::UpstreamId&);
 
@@ -65,8 +71,8 @@
         bool mayRedirect, OwnerAnswerCallback);
     void cancel(const Submitter&);
     /// Queries the state of a durable job, or cancels the job.
-    void query(const JobId& id, OwnerAnswerCallback callback) { durable_.query(id, std::move(callback)); }
-    void cancelJob(const JobId& id, OwnerAnswerCallback callback) { durable_.cancel(id, std::move(callback)); }
+    void query(const JobId&, OwnerAnswerCallback);
+    void cancelJob(const JobId&, OwnerAnswerCallback);
     /// The shard's record has been marked as having durable jobs.
     void handleDurableJobsRecorded() { durable_.handleRecordUpdated(); }
     /// Sets the number of shards that share the store's write rate.
@@ -122,6 +128,8 @@
     /// Submits a durable job once the jobs of earlier owners are known: it may be one of them.
     void deferDurable(const Submitter&, Shards::JobSpec, Duration age, OwnerAnswerCallback);
     void submitDurable(Shards::JobSpec, OwnerAnswerCallback);
+    /// True while no other owner acts on the shard's durable jobs.
+    bool mayActOnDurableJobs() const { return monotonicNow() < ownershipValidUntil_; }
     void openAllSessions();
     /// The journal has been read, or the predecessor has sent its state or was lost.
     void handleInheritedStateKnown();
@@ -148,6 +156,8 @@
     TimePoint startedAt_;
     // When inheritedStateKnown() became true; TimePoint::max() before.
     TimePoint inheritedStateKnownAt_ { TimePoint::max() };
+    TimePoint ownershipValidUntil_ {};
+    bool ownershipExpiryLogged_ { false };
     Handlers handlers_;
     Shards::ShardEngine engine_;
     DurableJobs durable_;
--- a/libs/node/tests/ShardServerTests.cpp
+++ b/libs/node/tests/ShardServerTests.cpp
@@ -76,14 +76,16 @@
         });
     }
 
-    void startOwner(std::uint64_t epoch, bool hasDurableJobs)
+    void startOwner(std::uint64_t epoch, bool hasDurableJobs, Duration confirmedAgo = {})
     {
         ownLoop.run([&] {
             if (server)
                 server->abandon();
             server = std::make_unique<ShardServer>(*context, *store,
-                ShardServer::Options {
-                    .name = Shards::ShardName("valencia/0"), .epoch = Epoch(epoch), .hasDurableJobs = hasDurableJobs },
+                ShardServer::Options { .name = Shards::ShardName("valencia/0"),
+                    .epoch = Epoch(epoch),
+                    .hasDurableJobs = hasDurableJobs,
+                    .ownershipConfirmedAt = monotonicNow() - confirmedAgo },
                 ShardServer::Handlers { .otherShards = [] { return std::vector<Shards::OtherShard> {}; },
                     .fenced = [] {},
                     .recordDurableJobs = [this] { server->handleDurableJobsRecorded(); },
@@ -163,3 +165,16 @@
     CHECK_EQ(fixture.submit(storedJob), OwnerAnswer::Kind::Unavailable);
     CHECK_EQ(fixture.query(storedJob), OwnerAnswer::Kind::Unavailable);
 }
+
+// Guards against an outdated state from an owner that is cut off from the store while another one acts for the shard.
+TEST_CASE("An owner whose record was not confirmed for long answers that it cannot tell")
+{
+    Fixture fixture;
+    fixture.startOwner(1, false, Shards::ownershipValidity + 1s);
+    CHECK_EQ(fixture.submit(storedJob), OwnerAnswer::Kind::Unavailable);
+    CHECK_EQ(fixture.query(storedJob), OwnerAnswer::Kind::Unavailable);
+    fixture.ownLoop.run([&] { fixture.server->confirmOwnership(monotonicNow()); });
+    CHECK_EQ(fixture.query(storedJob), OwnerAnswer::Kind::UnknownJob);
+    CHECK_EQ(fixture.submit(storedJob), OwnerAnswer::Kind::Accepted);
+    CHECK_EQ(fixture.query(storedJob), OwnerAnswer::Kind::Known);
+}
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -133,6 +133,10 @@
     /// tasks are not started before the time set with delayInheritedUntil(), because they may be running on an upstream
     /// that has not reported yet.
     void inheritDurable(const OccurrenceKey&, std::shared_ptr<const JobSpec>, TimePoint due, const JobProgress&);
+    /// Until this time no other owner acts on the shard's durable jobs. Their tasks are started only before it, and
+    /// their runs and the leases of upstreams with unrecorded ends of them expire by then. TimePoint::max() until it is
+    /// set.
+    void setOwnershipValidUntil(TimePoint until) { ownershipValidUntil_ = until; }
     void delayInheritedUntil(TimePoint until) { inheritedDelayedUntil_ = until; }
     TimePoint inheritedDelayedUntil() const { return inheritedDelayedUntil_; }
     /// Drops all occurrences of a job and stops their runs.
@@ -204,6 +208,10 @@
     void setOrigin(Job&, OriginId);
     TimePoint latestEndFor(OriginId) const;
     TimePoint latestEndOf(const Run&) const;
+    /// True if a start on the upstream could outlast this owner's right to act on durable jobs there.
+    bool isLeaseLimitedByOwnership(const Upstream&, TimePoint now) const;
+    /// Notes which unrecorded ends are older than the end of every lease granted on their upstream.
+    void noteLapsedLeases(TimePoint now);
     void stopOtherRuns(const TaskKey&, TimePoint now);
     bool adoptRun(Upstream&, const RunningTask&, TimePoint now);
     static JobProgress progressOf(const Job&);
@@ -266,6 +274,7 @@
     // a cancelled job is submitted again.
     std::unordered_map<OccurrenceKey, RecentJob> recentJobs_;
     TimePoint inheritedDelayedUntil_ {};
+    TimePoint ownershipValidUntil_ { TimePoint::max() };
     ProgressMark lastMark_ {};
     // Ended durable jobs whose end may not be in the store yet.
     struct UnrecordedJob {
--- a/libs/shards/src/OwnershipPolicy.cpp
+++ b/libs/shards/src/OwnershipPolicy.cpp
@@ -32,14 +32,15 @@
     if (shard.ownedByEarlierIncarnation)
         return question.now;
     if (!shard.recorded || shard.released)
-        return shard.changedAt + claimDelay(question);
+        return shard.changedAt + (question.claimantIsRemote ? remoteClaimDelay : Duration::zero())
+            + claimDelay(question);
     switch (shard.owner) {
     case PeerState::Connected:
         return std::nullopt;
     case PeerState::Refused:
         // An entry whose own network has failed may be refused by all others; it must not take over shards from healthy
         // owners.
-        if (question.connectedToOthers)
+        if (question.connectedToOthers && !question.claimantIsRemote)
             return question.now + claimDelay(question);
         break;
     case PeerState::Unresponsive:
@@ -47,7 +48,8 @@
     }
     if (question.now - question.storeCurrentAt > maxStoreViewAge)
         return std::nullopt;
-    return shard.changedAt + recordExpiry + claimDelay(question);
+    const bool sameDomain = !question.claimantIsRemote && !shard.ownerIsRemote;
+    return shard.changedAt + (sameDomain ? recordExpiry : remoteClaimDelay) + claimDelay(question);
 }
 
 } // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -59,6 +59,8 @@
     std::uint64_t sequence { 0 };
     OccurrenceKey job {};
     ProgressMark mark {};
+    // Every lease granted before has ended since, so that another owner may start the task again.
+    bool leaseLapsed { false };
 };
 
 struct ShardEngine::Upstream {
@@ -85,6 +87,14 @@
     // After a suspicion period the upstream gets one task at a time until one succeeds.
     bool onProbation { false };
 
+    // True if a run of a durable job, or an unrecorded end of one, depends on the upstream's lease.
+    bool hasDurableWork() const
+    {
+        return std::any_of(runs.begin(), runs.end(), [](const auto& entry) {
+            return entry.second.origin == OriginId();
+        }) || std::any_of(unrecorded.begin(), unrecorded.end(), [](const auto& end) { return !end.leaseLapsed; });
+    }
+
     // True if a start may extend the lease of everything that runs on the upstream.
     bool mayExtendLease(TimePoint now) const;
 
--- a/libs/shards/src/ShardEngineOrigins.cpp
+++ b/libs/shards/src/ShardEngineOrigins.cpp
@@ -53,7 +53,7 @@
 bool ShardEngine::isOriginConfirmed(const Job& job, TimePoint now) const
 {
     if (job.origin == OriginId())
-        return true;
+        return now + minStartLease <= ownershipValidUntil_;
     const auto confirmed = originConfirmedAt_.find(job.origin);
     return confirmed != originConfirmedAt_.end() && now <= confirmed->second + options_.confirmationTimeout;
 }
@@ -61,7 +61,7 @@
 TimePoint ShardEngine::latestEndFor(OriginId origin) const
 {
     if (origin == OriginId())
-        return TimePoint::max();
+        return ownershipValidUntil_;
     const auto confirmed = originConfirmedAt_.find(origin);
     return confirmed == originConfirmedAt_.end() ? TimePoint::min() : confirmed->second + options_.clientResendDelay;
 }
@@ -89,10 +89,25 @@
     if (found == upstreams_.end())
         return TimePoint::max();
     // A lease applies to everything that runs on the upstream.
-    auto limit = TimePoint::max();
+    auto limit = found->second.hasDurableWork() ? ownershipValidUntil_ : TimePoint::max();
     for (const auto& [task, run] : found->second.runs)
         limit = std::min(limit, latestEndOf(run));
     return limit;
 }
 
+bool ShardEngine::isLeaseLimitedByOwnership(const Upstream& upstream, TimePoint now) const
+{
+    return now + minStartLease > ownershipValidUntil_ && upstream.hasDurableWork();
+}
+
+void ShardEngine::noteLapsedLeases(TimePoint now)
+{
+    for (auto& [id, upstream] : upstreams_) {
+        if (now <= upstream.leaseEndsBy)
+            continue;
+        for (auto& end : upstream.unrecorded)
+            end.leaseLapsed = true;
+    }
+}
+
 } // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -268,6 +268,7 @@
 {
     for (auto& [id, upstream] : upstreams_)
         checkOverdue(upstream, now);
+    noteLapsedLeases(now);
     dropLateJobs(now);
     std::erase_if(recentJobs_, [now](const auto& entry) { return entry.second.forgetAt <= now; });
 }
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -103,7 +103,8 @@
             || !step.need.fitsIn(upstream.freeCapacity))
             continue;
         // These last until a confirmation or the end of a run arrives, so forecasts count on the upstream.
-        if (!upstream.mayExtendLease(now) || upstream.leaseEndsBy > latestEnd)
+        if (!upstream.mayExtendLease(now) || upstream.leaseEndsBy > latestEnd
+            || isLeaseLimitedByOwnership(upstream, now))
             continue;
         if (job.spec->advice && job.steps[stepIndex].permits.ticketFor(upstream.info, now) == nullptr)
             continue;
--- a/libs/shards/tests/OwnershipPolicyTests.cpp
+++ b/libs/shards/tests/OwnershipPolicyTests.cpp
@@ -80,3 +80,43 @@
     claim.shard.ownedByEarlierIncarnation = true;
     CHECK_EQ(*claimTime(claim), at(5'000));
 }
+
+// Guards against an entry outside a failure domain that claims a shard of the domain while its owner, which may only be
+// cut off, still acts on durable jobs.
+TEST_CASE("An entry of another failure domain claims a shard only when its owner's validity has ended")
+{
+    auto claim = connectedOwnerClaim();
+    claim.claimantIsRemote = true;
+    CHECK_FALSE(claimTime(claim).has_value());
+    for (const auto state : { PeerState::Unresponsive, PeerState::Refused }) {
+        claim.shard.owner = state;
+        REQUIRE(claimTime(claim).has_value());
+        CHECK_GE(*claimTime(claim), claim.shard.changedAt + remoteClaimDelay);
+        CHECK_GT(*claimTime(claim), claim.shard.changedAt + ownershipValidity);
+    }
+}
+
+// Guards against the same the other way round: the owner is the one outside.
+TEST_CASE("An owner in another failure domain is given the same time by the shard's own entries")
+{
+    auto claim = connectedOwnerClaim();
+    claim.shard.ownerIsRemote = true;
+    claim.shard.owner = PeerState::Unresponsive;
+    CHECK_GE(claimTime(claim).value(), claim.shard.changedAt + remoteClaimDelay);
+    // The process has ended, so it does not act any more.
+    claim.shard.owner = PeerState::Refused;
+    CHECK_EQ(claimTime(claim).value(), at(5'000));
+}
+
+// Guards against shards that leave their failure domain whenever an owner restarts.
+TEST_CASE("A shard without an owner is claimed by the entries of its own failure domain first")
+{
+    auto own = connectedOwnerClaim();
+    own.shard.released = true;
+    auto remote = own;
+    remote.claimantIsRemote = true;
+    CHECK_EQ(claimTime(remote).value(), claimTime(own).value() + remoteClaimDelay);
+    own.shard.released = remote.shard.released = false;
+    own.shard.recorded = remote.shard.recorded = false;
+    CHECK_EQ(claimTime(remote).value(), claimTime(own).value() + remoteClaimDelay);
+}
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -52,6 +52,8 @@
     /// Returns the JSON row with which the upstream registers itself in the store.
     std::string registration(const std::string& state = "ready") const;
     const std::string& id() const { return options_.id; }
+    /// Host and port at which owners reach the upstream.
+    const std::string& address() const { return address_; }
     /// Executes the next starts, up to the given number, without answering them.
     void dropNextAnswers(int starts);
     /// Executes the next starts, up to the given number, after the delay and without answering them.
--- a/tests/platform/Suspension.h
+++ b/tests/platform/Suspension.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "SuspendedTime.h"
+#include "SuspendedTimeMapping.h"
 #include "support/Process.h"
 
 #include <map>
@@ -31,7 +31,7 @@
 private:
     const IntegrationTest::Process& process_;
     OpenConnections openConnections_;
-    SuspendedTime* suspendedTime_ { nullptr };
+    SuspendedTimeMapping suspendedTime_;
     Balsammill::TimePoint beganAt_;
 };
 
