--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -80,6 +80,8 @@
     void restart(std::size_t entry);
     IntegrationTest::Process& entry(std::size_t index) { return *entries_[index]; }
     std::size_t entryCount() const { return entries_.size(); }
+    /// Port at which clients connect to the entry.
+    std::uint16_t clientPort(std::size_t entry) const { return ports_[entry].client.number(); }
     /// Port at which other entries connect to the entry.
     int peerPort(std::size_t entry) const { return ports_[entry].firstPeer; }
     /// Index of the entry that owns the only shard of the domain; entryCount() if its record names no entry.
