--- a/tests/platform/SuspendedTimeMapping.cpp
+++ b/tests/platform/SuspendedTimeMapping.cpp
@@ -7,6 +7,8 @@
 #include <filesystem>
 #include <stdexcept>
 
+using namespace std::chrono_literals;
+
 namespace PlatformTest {
 
 namespace {
@@ -18,7 +20,13 @@
 SuspendedTimeMapping::SuspendedTimeMapping(const IntegrationTest::Process& process)
 {
     const auto path = std::string(directory) + "/" + std::to_string(process.pid());
-    const int file = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+    // A process that has just been started has not created its file yet.
+    const bool created = IntegrationTest::waitUntil(IntegrationTest::in(5s), [&] {
+        std::error_code error;
+        const auto size = std::filesystem::file_size(path, error);
+        return !error && size >= sizeof(SuspendedTime);
+    });
+    const int file = created ? ::open(path.c_str(), O_RDWR | O_CLOEXEC) : -1;
     if (file < 0)
         throw std::runtime_error(path + " cannot be opened");
     void* memory = ::mmap(nullptr, sizeof(SuspendedTime), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
--- a/tests/platform/SuspendedTimeMapping.h
+++ b/tests/platform/SuspendedTimeMapping.h
@@ -11,7 +11,7 @@
 /// Access to the memory that a process shares with the test.
 class SuspendedTimeMapping {
 public:
-    /// Throws if the process was not started with environment().
+    /// Throws if the process was not started with environment() or has ended.
     explicit SuspendedTimeMapping(const IntegrationTest::Process&);
     ~SuspendedTimeMapping();
     SuspendedTimeMapping(const SuspendedTimeMapping&) = delete;
