Do not report a job as not run when an earlier owner has started it

Cause: a handover carries the highest run number and the expected runs of a job, but importJob() did not mark the job as started, so dropLateJobs() took it for a job without a run. Such a job counts as started now; one whose run number stems from an attempt before this one counts as started too, which is the safe side. JobTransferTests holds the case; it was written with the fix.

--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -104,6 +104,9 @@
     submissions_[submission] = transferred.key;
     applyProgress(job, transferred.progress);
     job.runFloor = job.highestRun;
+    // A started job must never be answered as not run.
+    job.started = job.started || transferred.progress.highestRun.value > 0 || !transferred.expected.empty();
+    job.lastStartAt = transferred.submittedAt;
     return true;
 }
 
--- a/libs/shards/tests/JobTransferTests.cpp
+++ b/libs/shards/tests/JobTransferTests.cpp
@@ -49,6 +49,28 @@
 
 } // namespace
 
+// Guards against a client that is told that its job has not run although an earlier owner has started it.
+TEST_CASE("A job whose first run has failed is not dropped as not run by the next owner")
+{
+    EngineFixture earlier;
+    earlier.addUpstream(makeUpstream("u1", 32'000));
+    earlier.submit({ .milliCores = 20'000 }, 0);
+    const auto starts = earlier.scheduleAndTake<StartTask>(0);
+    REQUIRE_EQ(starts.size(), 1);
+    earlier.confirmStart(starts[0], 1);
+    earlier.reportEnd(starts[0], 1, RunEnd::Failed, 100);
+    const auto exported = earlier.engine.exportJobs();
+    REQUIRE_EQ(exported.size(), 1);
+
+    EngineFixture next;
+    next.addUpstream(makeUpstream("u1", 32'000), 200);
+    next.engine.importJob(SubmissionId(7), exported[0]);
+    // Its objective has passed long ago, so that an unstarted job would be dropped.
+    next.engine.advance(at(5'000));
+    CHECK(next.takeActionsOf<FinishJob>().empty());
+    CHECK_EQ(next.scheduleAndTake<StartTask>(5'000).size(), 1);
+}
+
 // Guards against tasks that are stopped, lost or run again when a shard is handed over.
 TEST_CASE("The next owner adopts runs in progress, keeps ended tasks, and starts the others")
 {
