Serve evacuations of a failure domain, and bring up cold upstreams step by step

Change: entries follow the request through the table that they follow already. New jobs are redirected to other domains or refused at once, accepted ones may start tasks for half of bounds.evacuation_ms, then unstarted ones are sent on and interrupted ones are answered as in doubt; durable jobs wait. Entries of an evacuated domain spread their jobs over the others by free capacity. A cold upstream gets a growing share of tasks and is not rated by its cold runs.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -121,8 +121,14 @@
                       [this](const Platform::Row& row) {
                           if (row.key == Platform::configurationKey)
                               adoptConfiguration(row.value, "store");
+                          else if (const auto domain = Platform::evacuatedDomain(row.key))
+                              startEvacuation(*domain);
+                      },
+                  .removed =
+                      [this](const std::string& key) {
+                          if (const auto domain = Platform::evacuatedDomain(key))
+                              endEvacuation(*domain);
                       },
-                  .removed = [](const std::string&) {},
                   .availabilityChanged
                   = [this](bool available, const std::string& reason) { logStoreAvailability(available, reason); } })
         , shardRows(loop, store, ShardDirectory::table, shardRecordReadDelay,
@@ -172,6 +178,25 @@
         jobs.advance(monotonicNow());
     }
 
+    void startEvacuation(const FailureDomain& domain)
+    {
+        // The row was written after the table was last current. Half of the bound is left for the answers of the store
+        // and for tasks that are being started. Before the table has been loaded, the row may be of any age.
+        const auto noStartsFrom
+            = operatorRows.loaded() ? operatorRows.currentAt() + context.settings.evacuationBound / 2 : TimePoint {};
+        if (!context.evacuations.start(domain, noStartsFrom))
+            return;
+        const auto delay = std::max(noStartsFrom - monotonicNow(), Duration::zero());
+        log.event("evacuation.started",
+            { { "failure_domain", domain.value }, { "no_starts_in_ms", static_cast<std::int64_t>(toMs(delay)) } });
+    }
+
+    void endEvacuation(const FailureDomain& domain)
+    {
+        if (context.evacuations.end(domain))
+            log.event("evacuation.ended", { { "failure_domain", domain.value } });
+    }
+
     void recordStoreCall(Platform::StoreCall call, Platform::StoreStatus status, Duration took)
     {
         const auto kind = "kind=\"" + std::string(nameOf(call)) + "\"";
@@ -428,6 +453,7 @@
             "balsammill_peer_bytes_sent", R"(to="other_domains")", static_cast<double>(peers.sentBytes().otherDomains));
         metrics.set("balsammill_open_requests", {}, static_cast<double>(clientServer.openRequests()));
         metrics.set("balsammill_open_connections", {}, static_cast<double>(clientServer.openConnections()));
+        metrics.set("balsammill_evacuated_domains", {}, static_cast<double>(context.evacuations.size()));
         metrics.set("balsammill_log_lines_dropped", {}, static_cast<double>(log.droppedLines()));
         for (const auto& [name, server] : ownership.servers()) {
             const auto load = server->load();
@@ -436,6 +462,7 @@
             metrics.set("balsammill_shard_running_tasks", shardLabel, load.runningTasks);
             metrics.set("balsammill_shard_free_millicores", shardLabel, static_cast<double>(load.freeMilliCores));
             metrics.set("balsammill_shard_usable_upstreams", shardLabel, load.usableUpstreams);
+            metrics.set("balsammill_cold_upstreams", shardLabel, load.coldUpstreams);
         }
         exchange.respond(
             { .status = 200, .fields = {}, .body = metrics.exposition(), .contentType = "text/plain; version=0.0.4" });
--- a/libs/node/src/NodeContext.h
+++ b/libs/node/src/NodeContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "StallDetector.h"
+#include "ownership/EvacuationTable.h"
 
 #include "balsammill/observe/Metrics.h"
 #include "balsammill/observe/StructuredLog.h"
@@ -21,6 +22,7 @@
     StructuredLog& log;
     Metrics& metrics;
     StallDetector stall {};
+    EvacuationTable evacuations {};
 
     /// Logs and counts a malformed record of the store.
     void reportBadRecord(std::string_view event, std::string_view table, LogFields fields) const
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -3,7 +3,9 @@
 #include "JobMessageCodec.h"
 #include "TimeBudgets.h"
 
+#include "balsammill/base/StableHash.h"
 #include "balsammill/internal/shard.pb.h"
+#include "balsammill/shards/ShardSelection.h"
 
 #include <boost/asio/post.hpp>
 
@@ -100,25 +102,24 @@
 
 std::optional<JobClient::Target> JobClient::chooseTarget(const Request& request) const
 {
-    std::optional<Target> best;
-    bool bestIsHome = false;
-    std::int64_t bestFree = 0;
+    std::vector<Target> targets;
+    std::vector<Shards::ShardCandidate> candidates;
     for (const auto& [name, owner] : directory_.owners()) {
         if (std::find(request.triedShards.begin(), request.triedShards.end(), name) != request.triedShards.end())
             continue;
         auto target = findTarget(name);
         if (!target)
             continue;
-        const bool home = ShardDirectory::domainOf(name) == context_.settings.domain;
+        const auto domain = ShardDirectory::domainOf(name);
         const auto* status = directory_.statusOf(name);
-        const auto free = status == nullptr ? 0 : status->freeMilliCores;
-        if (!best || (home && !bestIsHome) || (home == bestIsHome && free > bestFree)) {
-            best = std::move(target);
-            bestIsHome = home;
-            bestFree = free;
-        }
+        candidates.push_back({ .name = name,
+            .home = domain == context_.settings.domain,
+            .evacuated = context_.evacuations.contains(domain),
+            .freeMilliCores = status == nullptr ? 0 : status->freeMilliCores });
+        targets.push_back(std::move(*target));
     }
-    return best;
+    const auto chosen = Shards::chooseShard(candidates, stableHash(jobIdOf(request).value));
+    return chosen ? std::optional(targets[*chosen]) : std::nullopt;
 }
 
 void JobClient::dispatch(RequestNumber number)
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -508,7 +508,8 @@
     for (const auto& [name, owner] : directory_.owners()) {
         const auto* status = directory_.statusOf(name);
         const bool reachable = servers_.contains(name) || peers_.stateOf(owner.address) == Shards::PeerState::Connected;
-        if (name != excluded && status != nullptr && reachable)
+        const bool evacuated = context_.evacuations.contains(ShardDirectory::domainOf(name));
+        if (name != excluded && status != nullptr && reachable && !evacuated)
             others.push_back(
                 { .name = name, .freeMilliCores = status->freeMilliCores, .waitingJobs = status->waitingJobs });
     }
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -1,6 +1,7 @@
 #include "ShardServer.h"
 
 #include "TimeBudgets.h"
+#include "ownership/ShardDirectory.h"
 
 #include <boost/asio/post.hpp>
 
@@ -56,9 +57,15 @@
     confirmOwnership(options.ownershipConfirmedAt);
     if (inheritedStateKnown())
         inheritedStateKnownAt_ = startedAt_;
+    updateEvacuation();
     durable_.start();
 }
 
+void ShardServer::updateEvacuation()
+{
+    engine_.setEvacuation(context_.evacuations.noStartsFrom(ShardDirectory::domainOf(name_)));
+}
+
 ShardServer::~ShardServer()
 {
     *alive_ = false;
@@ -382,7 +389,7 @@
     // Sessions are opened after the journal has been read, which takes long when the store is slow.
     const bool starting
         = now < startedAt_ + startupPeriod || (spec.durable && now - startupPeriod < inheritedStateKnownAt_);
-    if (starting && (!mostReported || upstreams_.empty()))
+    if (starting && !forecast.evacuated && (!mostReported || upstreams_.empty()))
         return Shards::AcceptJob {};
     // Long-running and scheduled jobs have no completion forecast; they only have to be placeable.
     const bool withoutForecast = spec.longRunning || spec.schedule;
@@ -538,6 +545,7 @@
                 { "confirmed_ms_ago",
                     static_cast<std::int64_t>(toMs(now - (ownershipValidUntil_ - Shards::ownershipValidity))) } });
     checkUnconfirmed(now);
+    updateEvacuation();
     engine_.advance(now);
     durable_.advance();
     const auto sessions = sessions_;
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -94,7 +94,7 @@
     /// Answers every open submission with InDoubt and closes the sessions with upstreams.
     void abandon();
 
-    Shards::ShardLoad load() const { return engine_.load(); }
+    Shards::ShardLoad load() const { return engine_.load(monotonicNow()); }
     std::size_t unfinishedJobs() const { return engine_.unfinishedJobs(); }
     /// Empty until the durable jobs have been read from the journal.
     std::optional<std::map<Shards::QueueName, std::uint32_t>> waitingByQueue() const
@@ -115,6 +115,9 @@
     };
 
     void runScheduler();
+    void updateEvacuation();
+    /// Answers a submission whose job cannot run because the failure domain is evacuated.
+    void answerEvacuated(const OpenSubmission&, const Shards::FinishJob&);
     void execute(const Shards::ShardActions&);
     void execute(const Shards::StartTask&);
     void execute(const Shards::StopTask&);
--- a/libs/node/src/serving/ShardServerActions.cpp
+++ b/libs/node/src/serving/ShardServerActions.cpp
@@ -17,6 +17,10 @@
         return "superseded";
     case Shards::JobResult::NotRun:
         return "not_run";
+    case Shards::JobResult::Evacuated:
+        return "evacuated";
+    case Shards::JobResult::Interrupted:
+        return "interrupted";
     }
     return "unknown";
 }
@@ -30,7 +34,10 @@
         return OwnerAnswer::Kind::Failed;
     case Shards::JobResult::NotRun:
         return OwnerAnswer::Kind::Refused;
+    case Shards::JobResult::Evacuated:
+        return OwnerAnswer::Kind::Refused;
     case Shards::JobResult::Superseded:
+    case Shards::JobResult::Interrupted:
         break;
     }
     return OwnerAnswer::Kind::InDoubt;
@@ -67,9 +74,37 @@
             { { "id", entry.job.value }, { "shard", name_.value }, { "result", nameOf(finished.result) },
                 { "ms", static_cast<std::int64_t>(toMs(now - entry.acceptedAt)) },
                 { "waited_ms", static_cast<std::int64_t>(toMs(finished.waited)) } });
+    if (finished.result == Shards::JobResult::Evacuated) {
+        answerEvacuated(entry, finished);
+        return;
+    }
+    if (finished.result == Shards::JobResult::Interrupted)
+        context_.metrics.add("balsammill_evacuated_jobs_total", R"(outcome="in_doubt")");
     entry.callback({ .kind = answerKind(finished.result), .retryAfter = {}, .redirect = {} });
 }
 
+void ShardServer::answerEvacuated(const OpenSubmission& entry, const Shards::FinishJob& finished)
+{
+    const auto decision = Shards::decideAdmission({ .job = *finished.spec,
+        .forecast = { .impossible = true, .evacuated = true },
+        .others = handlers_.otherShards(),
+        .now = monotonicNow() });
+    OwnerAnswer result { .kind = answerKind(finished.result), .retryAfter = {}, .redirect = {} };
+    if (const auto* redirect = std::get_if<Shards::RedirectToShard>(&decision)) {
+        result.kind = OwnerAnswer::Kind::Redirected;
+        result.redirect = redirect->shard;
+    } else if (const auto* refuse = std::get_if<Shards::RefuseJob>(&decision)) {
+        result.retryAfter = refuse->retryAfter;
+    }
+    const bool redirected = result.kind == OwnerAnswer::Kind::Redirected;
+    context_.metrics.add(
+        "balsammill_evacuated_jobs_total", redirected ? R"(outcome="redirected")" : R"(outcome="refused")");
+    if (context_.log.isSampled(entry.job.value))
+        context_.log.event(
+            "job.evacuated", { { "id", entry.job.value }, { "shard", name_.value }, { "to", result.redirect.value } });
+    entry.callback(result);
+}
+
 void ShardServer::execute(const Shards::ShardActions& actions)
 {
     for (const auto& action : actions)
--- a/libs/routing/include/balsammill/routing/NodeSettings.h
+++ b/libs/routing/include/balsammill/routing/NodeSettings.h
@@ -3,6 +3,7 @@
 #include "balsammill/base/StrongId.h"
 #include "balsammill/base/Units.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
     Duration clientResendDelay {};
     /// Time for which the state of a durable job must remain available to clients after its end.
     Duration stateRetention {};
+    /// Time from the request to evacuate a failure domain until no more tasks may be started there.
+    Duration evacuationBound { std::chrono::seconds(5) };
 };
 
 } // namespace Balsammill
--- a/libs/shards/include/balsammill/shards/ShardActions.h
+++ b/libs/shards/include/balsammill/shards/ShardActions.h
@@ -45,6 +45,10 @@
     Superseded,
     /// No task of the job was started or will be.
     NotRun,
+    /// No task of the job was started or will be in this shard, because its failure domain is evacuated.
+    Evacuated,
+    /// Some tasks have run, and the others cannot be started because the failure domain is evacuated.
+    Interrupted,
 };
 
 /// Answer a submission, or record the end of an occurrence of a durable job.
@@ -55,6 +59,8 @@
     JobResult result { JobResult::Completed };
     /// Time from submission until the last start of a task, or until now if none has started; for logs and metrics.
     Duration waited {};
+    /// The job, if the result is Evacuated: it may be submitted to another shard.
+    std::shared_ptr<const JobSpec> spec {};
 };
 
 /// A run of a task has failed. For the log only; nothing has to be sent.
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -23,6 +23,8 @@
     TimePoint objectiveAt {};
     /// For at least one step, no upstream of the shard can run its tasks.
     bool impossible { false };
+    /// The job is impossible because the shard's failure domain is evacuated.
+    bool evacuated { false };
 
     /// Work of accepted jobs that would miss their objective only because of this job, in core time. Less urgent jobs
     /// have a lower weight.
@@ -41,6 +43,7 @@
     std::uint32_t waitingJobs { 0 };
     std::uint32_t runningTasks { 0 };
     std::uint32_t usableUpstreams { 0 };
+    std::uint32_t coldUpstreams { 0 };
 };
 
 /// Scheduler of one shard: decides which task runs on which upstream and when a job has ended. It manages all capacity
@@ -165,13 +168,19 @@
     const RunTimeModel::Learned& learned() const { return model_.learned(); }
     void adoptLearned(const RunTimeModel::Learned& learned) { model_.adopt(learned); }
 
+    // Evacuation of the shard's failure domain.
+
+    /// From now on forecasts are impossible, and from the given time no task is started; runs are not stopped.
+    /// Best-effort jobs that cannot go on are finished, durable ones wait. std::nullopt ends the evacuation.
+    void setEvacuation(std::optional<TimePoint> noStartsFrom) { noStartsFrom_ = noStartsFrom; }
+
     /// Stops overdue tasks, and finishes jobs as NotRun that have not started and can no longer end in time.
     void advance(TimePoint now);
     /// Starts the waiting tasks that fit. Call it after handling events and before takeActions().
     void schedule(TimePoint now);
     ShardActions takeActions();
 
-    ShardLoad load() const;
+    ShardLoad load(TimePoint now = {}) const;
     /// True if the upstream has, or may have, runs whose lease has to be extended.
     bool needsLease(const UpstreamId&, TimePoint now) const;
     /// True if a report would decide about a run: it should have ended, so that its end may have been listed in a
@@ -256,6 +265,10 @@
     std::vector<QueuedJob> jobsInPlacementOrder(TimePoint now) const;
     Plan plan(std::vector<QueuedJob>, const JobSpec& sizedFor, TimePoint now) const;
     void dropLateJobs(TimePoint now);
+    bool mayStartTasks(TimePoint now) const { return !noStartsFrom_ || now < *noStartsFrom_; }
+    void finishEvacuatedJobs(TimePoint now);
+    /// Free capacity that tasks may use: less than all of it while the upstream is cold.
+    static Resources usableCapacity(const Upstream&, TimePoint now);
 
     Options options_;
     RunTimeModel model_;
@@ -275,6 +288,8 @@
     std::unordered_map<OccurrenceKey, RecentJob> recentJobs_;
     TimePoint inheritedDelayedUntil_ {};
     TimePoint ownershipValidUntil_ { TimePoint::max() };
+    // Set while the shard's failure domain is evacuated.
+    std::optional<TimePoint> noStartsFrom_ {};
     ProgressMark lastMark_ {};
     // Ended durable jobs whose end may not be in the store yet.
     struct UnrecordedJob {
--- a/libs/shards/include/balsammill/shards/UpstreamInfo.h
+++ b/libs/shards/include/balsammill/shards/UpstreamInfo.h
@@ -21,6 +21,8 @@
     std::string rack {};
     /// The upstream finishes its runs and accepts no new ones.
     bool draining { false };
+    /// Until this time the upstream is slow, because it has started recently; an unset time if it is not.
+    TimePoint coldUntil {};
     /// Unix time of its start in milliseconds; identifies the incarnation, as a restart keeps the id.
     std::int64_t startedUnixMs { 0 };
 
--- a/libs/shards/src/Admission.cpp
+++ b/libs/shards/src/Admission.cpp
@@ -32,8 +32,10 @@
     const OtherShard* best = nullptr;
     const auto needed = static_cast<std::int64_t>(capacityMargin * static_cast<double>(maxStepMilliCores(request.job)));
     for (const auto& other : request.others) {
-        if (other.waitingJobs == 0 && other.freeMilliCores >= needed
-            && (best == nullptr || other.freeMilliCores > best->freeMilliCores))
+        // In an evacuated failure domain the job cannot run at all, so that a shard which may have to refuse it is
+        // better than none.
+        const bool hasRoom = other.waitingJobs == 0 && other.freeMilliCores >= needed;
+        if ((hasRoom || forecast.evacuated) && (best == nullptr || other.freeMilliCores > best->freeMilliCores))
             best = &other;
     }
     if (best != nullptr)
--- a/libs/shards/src/ShardEngine.cpp
+++ b/libs/shards/src/ShardEngine.cpp
@@ -225,7 +225,8 @@
     actions_.emplace_back(FinishJob { .submission = job.submission,
         .job = key,
         .result = result,
-        .waited = job.started ? job.lastStartAt - job.submittedAt : now - job.submittedAt });
+        .waited = job.started ? job.lastStartAt - job.submittedAt : now - job.submittedAt,
+        .spec = result == JobResult::Evacuated ? job.spec : nullptr });
     stopRuns(key, now);
     recentJobs_[key] = { .highestRun = job.highestRun, .forgetAt = now + recentJobRetention };
     if (job.unrecorded)
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -38,6 +38,8 @@
     bool startedByEarlierOwner { false };
     // Adopted without its start time, so its run time is not passed to the run time model.
     bool startUnknown { false };
+    // Started while the upstream was cold, so its run time says nothing about the upstream's usual speed.
+    bool startedCold { false };
     // A report of the upstream's current incarnation has listed the run.
     bool listed { false };
     RunState state { RunState::StartSent };
@@ -86,6 +88,10 @@
     Duration suspicionPeriod {};
     // After a suspicion period the upstream gets one task at a time until one succeeds.
     bool onProbation { false };
+    // When the current cold period was first reported.
+    TimePoint coldSince {};
+
+    bool isCold(TimePoint now) const { return now < info.coldUntil; }
 
     // True if a run of a durable job, or an unrecorded end of one, depends on the upstream's lease.
     bool hasDurableWork() const
--- a/libs/shards/src/ShardEngineEnds.cpp
+++ b/libs/shards/src/ShardEngineEnds.cpp
@@ -88,13 +88,15 @@
 {
     auto& step = job.steps[key.step];
     const auto runTime = now - run.startSentAt;
+    upstream.consecutiveFailures = 0;
+    upstream.suspicionPeriod = Duration::zero();
+    upstream.onProbation = false;
+    if (run.startedCold)
+        return;
     step.observed += Duration(
         static_cast<Duration::rep>(static_cast<double>(runTime.count()) / model_.slowness(upstream.info.id)));
     ++step.observations;
     model_.record(*job.spec, job.spec->steps[key.step], upstream.info.id, runTime);
-    upstream.consecutiveFailures = 0;
-    upstream.suspicionPeriod = Duration::zero();
-    upstream.onProbation = false;
 }
 
 void ShardEngine::completeTask(Job& job, const TaskKey& key, TimePoint now)
--- /dev/null
+++ b/libs/shards/src/ShardEngineEvacuation.cpp
@@ -0,0 +1,55 @@
+#include "ShardEngineDetail.h"
+
+#include <algorithm>
+
+namespace Balsammill::Shards {
+
+namespace {
+
+// Share of the capacity of a cold upstream that tasks may use at first; it rises to all of it until the upstream is
+// warm, so that an upstream that has just started is not filled with tasks that all take long.
+constexpr double initialColdShare = 0.25;
+
+} // namespace
+
+Resources ShardEngine::usableCapacity(const Upstream& upstream, TimePoint now)
+{
+    if (!upstream.isCold(now) || upstream.runs.empty())
+        return upstream.freeCapacity;
+    const auto period = static_cast<double>((upstream.info.coldUntil - upstream.coldSince).count());
+    const auto elapsed = static_cast<double>((now - upstream.coldSince).count());
+    const double share = initialColdShare + (1.0 - initialColdShare) * std::clamp(elapsed / period, 0.0, 1.0);
+    auto usable = upstream.freeCapacity;
+    usable.milliCores
+        -= static_cast<std::int64_t>((1.0 - share) * static_cast<double>(upstream.info.capacity.milliCores));
+    return usable;
+}
+
+void ShardEngine::finishEvacuatedJobs(TimePoint now)
+{
+    if (mayStartTasks(now))
+        return;
+    std::vector<Job*> notStarted;
+    std::vector<Job*> interrupted;
+    for (const auto& [key, job] : jobs_) {
+        if (job->spec->durable)
+            continue;
+        bool waits = false;
+        bool active = false;
+        for (const auto& step : job->steps) {
+            waits = waits || step.waiting > 0;
+            active = active || step.active > 0
+                || std::any_of(
+                    step.tasks.begin(), step.tasks.end(), [now](const Task& task) { return task.isExpected(now); });
+        }
+        if (!waits || active)
+            continue;
+        (job->started ? interrupted : notStarted).push_back(job.get());
+    }
+    for (auto* job : notStarted)
+        finishJob(*job, JobResult::Evacuated, now);
+    for (auto* job : interrupted)
+        finishJob(*job, JobResult::Interrupted, now);
+}
+
+} // namespace Balsammill::Shards
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -17,6 +17,8 @@
 constexpr double overdueFactorBySiblings = 2.0;
 constexpr double overdueFactorByModel = 3.0;
 constexpr Duration overdueMargin = std::chrono::milliseconds(60);
+// A run that started on a cold upstream may take this many times as long.
+constexpr double overdueFactorIfCold = 2.0;
 
 } // namespace
 
@@ -28,6 +30,7 @@
         upstream.info = info;
         upstream.registeredStartedUnixMs = info.startedUnixMs;
         upstream.freeCapacity = info.capacity;
+        upstream.coldSince = now;
         return;
     }
     const auto knownBornMs = upstream.info.startedUnixMs;
@@ -36,6 +39,8 @@
         return;
     if (info.startedUnixMs > knownBornMs && knownBornMs != 0)
         handleRestart(upstream, now);
+    if (now >= upstream.info.coldUntil)
+        upstream.coldSince = now;
     Resources used = upstream.info.capacity;
     used -= upstream.freeCapacity;
     upstream.info = info;
@@ -243,8 +248,10 @@
         const double factor
             = std::ldexp(job->steps[key.step].observations > 0 ? overdueFactorBySiblings : overdueFactorByModel,
                 static_cast<int>(task.overdueStops));
+        const double coldFactor = run.startedCold ? overdueFactorIfCold : 1.0;
         const auto limit
-            = Duration(static_cast<Duration::rep>(factor * static_cast<double>(expected.count()))) + overdueMargin;
+            = Duration(static_cast<Duration::rep>(factor * coldFactor * static_cast<double>(expected.count())))
+            + overdueMargin;
         if (now - run.startSentAt <= limit)
             continue;
         // The run may have ended without the owner's knowledge, so a report decides whether it is overdue.
@@ -269,6 +276,7 @@
     for (auto& [id, upstream] : upstreams_)
         checkOverdue(upstream, now);
     noteLapsedLeases(now);
+    finishEvacuatedJobs(now);
     dropLateJobs(now);
     std::erase_if(recentJobs_, [now](const auto& entry) { return entry.second.forgetAt <= now; });
 }
@@ -314,7 +322,7 @@
     return found != upstreams_.end() && found->second.confirmed;
 }
 
-ShardLoad ShardEngine::load() const
+ShardLoad ShardEngine::load(TimePoint now) const
 {
     ShardLoad load;
     for (const auto& [id, upstream] : upstreams_) {
@@ -323,7 +331,8 @@
             || !upstream.hasCurrentRegistration())
             continue;
         ++load.usableUpstreams;
-        load.freeMilliCores += upstream.freeCapacity.milliCores;
+        load.coldUpstreams += upstream.isCold(now) ? 1 : 0;
+        load.freeMilliCores += usableCapacity(upstream, now).milliCores;
         load.capacityMilliCores += upstream.info.capacity.milliCores;
     }
     for (const auto& [id, job] : jobs_) {
@@ -334,6 +343,8 @@
         }
         load.waitingJobs += waits ? 1 : 0;
     }
+    if (noStartsFrom_)
+        load.freeMilliCores = std::min<std::int64_t>(load.freeMilliCores, 0);
     return load;
 }
 
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -16,6 +16,8 @@
 // Cost of an upstream in another rack than the task's data or the related tasks. The task takes up to twice as long
 // there.
 constexpr double otherRackCost = 1.0;
+// Cost of a cold upstream: its tasks take longer, so a warm one is preferred even in another rack.
+constexpr double coldCost = 1.5;
 // Cost of an upstream on which the last run of the task failed, was overdue or, for a long-running task, ended too
 // soon. It exceeds the costs above, so the upstream is used only if there is no other, or only ones that are about ten
 // times as slow as usual.
@@ -100,7 +102,7 @@
     double bestCost = std::numeric_limits<double>::max();
     for (auto& [id, upstream] : upstreams_) {
         if (!isUsable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
-            || !step.need.fitsIn(upstream.freeCapacity))
+            || !step.need.fitsIn(usableCapacity(upstream, now)))
             continue;
         // These last until a confirmation or the end of a run arrives, so forecasts count on the upstream.
         if (!upstream.mayExtendLease(now) || upstream.leaseEndsBy > latestEnd
@@ -122,6 +124,8 @@
                 / static_cast<double>(std::max<std::int64_t>(upstream.info.capacity.milliCores, 1));
         if (!rack.empty() && !upstream.info.hasLabel(rack))
             cost += otherRackCost;
+        if (upstream.isCold(now))
+            cost += coldCost;
         if (task.avoid == id)
             cost += failedRunCost;
         if (cost < bestCost) {
@@ -159,6 +163,7 @@
             .upstream = upstream.info.id,
             .origin = job.origin,
             .need = spec.need,
+            .startedCold = upstream.isCold(now),
             .state = RunState::StartSent,
             .startSentAt = now,
             .expectedEnd = now + adjustedRunTime,
@@ -293,6 +298,8 @@
 
 void ShardEngine::schedule(TimePoint now)
 {
+    if (!mayStartTasks(now))
+        return;
     Blocked blocked;
     for (const auto& queued : jobsInPlacementOrder(now)) {
         auto* job = queued.job;
@@ -344,7 +351,7 @@
         if (!isUsable(upstream, now) || !canHold(upstream, job, step))
             continue;
         Resources freeCapacity = upstream.freeCapacity;
-        auto open = countSlots(freeCapacity, step.need);
+        auto open = countSlots(usableCapacity(upstream, now), step.need);
         slots.insert(slots.end(), static_cast<std::size_t>(open), now);
         std::vector<const Run*> runs;
         for (const auto& [key, run] : upstream.runs)
@@ -402,6 +409,8 @@
         const auto coreTime = model_.predict(spec, step) * step.count * step.need.milliCores / 1000;
         result.ownWork += coreTime;
     }
+    if (noStartsFrom_)
+        result.impossible = result.evacuated = true;
     if (result.impossible || spec.steps.empty())
         return result;
 
--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -126,6 +126,11 @@
     return loop_.run([&] { return static_cast<int>(runs_.size()); });
 }
 
+int OperatorUpstream::starts()
+{
+    return loop_.run([&] { return starts_; });
+}
+
 void OperatorUpstream::ignoreCurrentOwner()
 {
     loop_.run([&] { ignoredFencingToken_ = fencingToken_; });
@@ -190,6 +195,7 @@
         registry_.violations.push_back("task started again after completion: " + task);
     // An older run of the task ends here, so that each task has one entry in runs_.
     endRun(task, "stopped");
+    ++starts_;
     ++registry_.starts;
     highestRun_[task] = number;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_.context());
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -76,6 +76,8 @@
     void ignoreCurrentOwner();
     /// Number of runs in progress.
     int activeRuns();
+    /// Number of tasks that were started here.
+    int starts();
 
 private:
     struct Run {
@@ -138,6 +140,7 @@
     std::int64_t startTimeMs_ { 0 };
     std::uint64_t fencingToken_ { 0 };
     std::uint64_t lastSequence_ { 0 };
+    int starts_ { 0 };
     int answersToDrop_ { 0 };
     int startsToDelay_ { 0 };
     int startDelayMs_ { 0 };
