Acknowledge ends only to the incarnation of an upstream that listed them

Cause: ends are numbered anew by each incarnation, and a restart keeps id and address. A request that reached the new incarnation before its first report carried the last number of the former one, and the new one forgot an end that nobody had seen. No field of the request names the incarnation by more than its id. Change: a number is sent only on a connection on which the newest incarnation has reported, because a restart ends its connections; on any other connection it is 0, which acknowledges nothing.

--- a/libs/http/include/balsammill/http/HttpClient.h
+++ b/libs/http/include/balsammill/http/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -24,6 +25,9 @@
     /// Sends a request. The callback runs exactly once, at the deadline at the latest, and never from within this call.
     /// If the client is destroyed first, the callback is not run.
     void send(const HttpRequest&, TimePoint deadline, HttpCallback);
+    /// The idle connection that the next request will use; 0 if it will open a new one. All requests on one connection
+    /// are answered by the same server process.
+    HttpConnectionId nextConnection();
     /// Closes the idle connections, so that the next request opens a new one.
     void closeIdle();
 
@@ -38,6 +42,7 @@
     std::size_t maxIdle_;
     std::vector<std::shared_ptr<Connection>> idle_;
     std::vector<std::weak_ptr<Connection>> busy_;
+    std::uint64_t lastConnection_ { 0 };
     /// Expires when the client is destroyed; connections hold weak references to it.
     std::shared_ptr<HttpClient*> self_;
 };
--- a/libs/http/include/balsammill/http/HttpMessages.h
+++ b/libs/http/include/balsammill/http/HttpMessages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balsammill/base/Units.h"
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -35,6 +37,9 @@
     std::string contentType { "application/json" };
 };
 
+/// Identifies a connection of an HttpClient; 0 is none.
+using HttpConnectionId = StrongNumber<struct HttpConnectionTag>;
+
 /// Outcome of a request sent with HttpClient.
 struct HttpResult {
     /// Empty if no complete response was received.
@@ -43,6 +48,8 @@
     bool neverSent { false };
     /// Human-readable reason if there is no response.
     std::string error;
+    /// The connection that carried the request.
+    HttpConnectionId connection {};
 };
 
 using HttpCallback = std::function<void(HttpResult)>;
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -44,8 +44,9 @@
 
 class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection> {
 public:
-    Connection(asio::io_context& context, std::weak_ptr<HttpClient*> owner)
-        : socket_(context)
+    Connection(asio::io_context& context, HttpConnectionId id, std::weak_ptr<HttpClient*> owner)
+        : id_(id)
+        , socket_(context)
         , timer_(context)
         , owner_(std::move(owner))
     {
@@ -164,6 +165,7 @@
     {
         auto message = parser_->release();
         HttpResult result;
+        result.connection = id_;
         result.response.emplace();
         result.response->status = message.result_int();
         for (const auto& field : message.base())
@@ -190,9 +192,13 @@
         if (const auto owner = owner_.lock())
             (*owner)->release(shared_from_this());
         if (callback)
-            callback({ .response = std::nullopt, .neverSent = !sendStarted_, .error = std::move(reason) });
+            callback({ .response = std::nullopt,
+                .neverSent = !sendStarted_,
+                .error = std::move(reason),
+                .connection = id_ });
     }
 
+    HttpConnectionId id_;
     asio::ip::tcp::socket socket_;
     Timer timer_;
     std::weak_ptr<HttpClient*> owner_;
@@ -229,20 +235,25 @@
 void HttpClient::send(const HttpRequest& request, TimePoint deadline, HttpCallback callback)
 {
     std::shared_ptr<Connection> connection;
-    while (!connection && !idle_.empty()) {
+    if (nextConnection() != HttpConnectionId()) {
         connection = std::move(idle_.back());
         idle_.pop_back();
-        if (connection->isStale()) {
-            connection->close();
-            connection.reset();
-        }
+    } else {
+        connection = std::make_shared<Connection>(context_, HttpConnectionId(++lastConnection_), self_);
     }
-    if (!connection)
-        connection = std::make_shared<Connection>(context_, self_);
     busy_.push_back(connection);
     connection->start(address_, serialize(request, address_.value), deadline, std::move(callback));
 }
 
+HttpConnectionId HttpClient::nextConnection()
+{
+    while (!idle_.empty() && idle_.back()->isStale()) {
+        idle_.back()->close();
+        idle_.pop_back();
+    }
+    return idle_.empty() ? HttpConnectionId() : idle_.back()->id_;
+}
+
 void HttpClient::release(const std::shared_ptr<Connection>& connection)
 {
     std::erase_if(busy_, [&](const auto& weak) { return weak.expired() || weak.lock() == connection; });
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -24,6 +24,8 @@
 // Idle connections that are kept open. Starts, stops and checks use about one per task that fits on an upstream.
 constexpr std::size_t pollConnections = 1;
 constexpr std::size_t commandConnections = 3;
+// Connections that are remembered for acknowledgements of ends.
+constexpr std::size_t maxReporters = 16;
 
 } // namespace
 
@@ -81,6 +83,24 @@
     return Answer::Usable;
 }
 
+std::uint64_t UpstreamSession::endToAcknowledge(HttpClient& client)
+{
+    // Ends are numbered anew by each incarnation, and a restart keeps the id and the address.
+    const auto connection = client.nextConnection();
+    return reporters_.contains({ &client, connection }) ? engine_.lastEndToAcknowledge(id_) : 0;
+}
+
+void UpstreamSession::noteReporter(const HttpClient* client, HttpConnectionId connection, std::int64_t startedUnixMs)
+{
+    if (startedUnixMs < reportersStartMs_)
+        return;
+    // Connections are closed and opened again; the bound only has to exceed the idle ones.
+    if (startedUnixMs > reportersStartMs_ || reporters_.size() >= maxReporters)
+        reporters_.clear();
+    reportersStartMs_ = startedUnixMs;
+    reporters_.insert({ client, connection });
+}
+
 void UpstreamSession::sendRepeatedly(Encoder encode, AnswerHandler handle)
 {
     const auto self = shared_from_this();
@@ -99,7 +119,9 @@
                   if (copies->grant)
                       self->tokens_.raise();
               }
-              SentRequest sent { .token = self->tokens_.current(), .sentAt = now, .copy = copy };
+              SentRequest sent {
+                  .token = self->tokens_.current(), .sentAt = now, .copy = copy, .client = self->commandClient_.get()
+              };
               const auto request = encode(sent);
               if (!request)
                   return false;
@@ -270,7 +292,7 @@
 std::optional<HttpRequest> UpstreamSession::encodeCheck(SentRequest& sent)
 {
     sent.afterExpiry = leases_.hasUnreportedExpiry(sent.sentAt);
-    sent.acknowledgedEnd = engine_.lastEndToAcknowledge(id_);
+    sent.acknowledgedEnd = endToAcknowledge(*commandClient_);
     // An upstream that does not answer gets no leases, so that its runs are over within a known time. At most one grant
     // is without an answer at a time: copies, which have raised tokens, only keep it from being carried out late.
     const bool mayGrant = confirmed_ && !failing_ && !sent.afterExpiry && sent.copy == 0 && !grantInDoubt_
@@ -293,7 +315,7 @@
             checkOutstanding_ = false;
             const auto now = monotonicNow();
             if (answer == Answer::Usable) {
-                handleReport(*result.response, sent);
+                handleReport(result, sent);
                 return;
             }
             if (answer == Answer::None)
@@ -309,9 +331,10 @@
     pollOutstanding_ = true;
     pollSentAt_ = now;
     const auto waitFor = wait ? reportPollTime : Duration::zero();
-    const SentRequest sent {
-        .token = tokens_.current(), .sentAt = now, .acknowledgedEnd = engine_.lastEndToAcknowledge(id_)
-    };
+    const SentRequest sent { .token = tokens_.current(),
+        .sentAt = now,
+        .acknowledgedEnd = endToAcknowledge(*pollClient_),
+        .client = pollClient_.get() };
     const auto request = Platform::encodeReportRequest(id_, std::nullopt, sent.token, sent.acknowledgedEnd, waitFor);
     context_.metrics.add("balsammill_upstream_reports_total");
     pollClient_->send(request, now + waitFor + answerTimeout,
@@ -325,7 +348,7 @@
             if (poll == self->lastPoll_)
                 self->pollOutstanding_ = false;
             if (answer == Answer::Usable) {
-                self->handleReport(*result.response, sent);
+                self->handleReport(result, sent);
             } else {
                 if (answer == Answer::None && poll == self->lastPoll_)
                     self->checkWanted_ = true;
@@ -377,8 +400,9 @@
     });
 }
 
-void UpstreamSession::handleReport(const HttpResponse& response, const SentRequest& sent)
+void UpstreamSession::handleReport(const HttpResult& result, const SentRequest& sent)
 {
+    const auto& response = *result.response;
     const auto now = monotonicNow();
     if (response.status != 200) {
         if (Platform::isOtherIncarnation(response)) {
@@ -394,6 +418,7 @@
         leases_.confirm(*sent.lease);
     try {
         const auto report = Platform::parseReport(response);
+        noteReporter(sent.client, result.connection, report.startedUnixMs);
         if (failing_)
             context_.log.event("upstream.reachable", { { "upstream", id_.value } });
         failing_ = false;
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace Balsammill {
@@ -54,6 +56,8 @@
         bool repeated { false };
         std::optional<UpstreamLeases::Grant> lease {};
         std::uint64_t acknowledgedEnd { 0 };
+        // The client that sends it.
+        const HttpClient* client { nullptr };
         // The lease had expired when the report was requested, and the engine does not know it yet.
         bool afterExpiry { false };
     };
@@ -96,7 +100,7 @@
     std::optional<HttpRequest> encodeCheck(SentRequest&);
     bool isPollDue(TimePoint now, bool busy);
     void requestPoll(TimePoint now, bool wait);
-    void handleReport(const HttpResponse&, const SentRequest&);
+    void handleReport(const HttpResult&, const SentRequest&);
     /// True if the report is older than one that was handled before: answers on different connections may overtake
     /// each other.
     bool isOutdated(const HttpResponse&, const Shards::UpstreamReport&);
@@ -110,6 +114,10 @@
     /// False if the run is not wanted any more, or could outlive its client's request.
     bool maySendAgain(const Shards::StartTask&, TimePoint now) const;
     UpstreamLeases::Grant grantLease(TimePoint now, Duration length);
+    /// The number up to which the next request of this client may acknowledge ends; 0 if it may reach another
+    /// incarnation than the one that listed them.
+    std::uint64_t endToAcknowledge(HttpClient&);
+    void noteReporter(const HttpClient*, HttpConnectionId, std::int64_t startedUnixMs);
 
     NodeContext& context_;
     Shards::ShardEngine& engine_;
@@ -123,6 +131,10 @@
     std::vector<StartInDoubt> startsInDoubt_;
     // A grant has no answer, and no request has been answered since the fencing token was raised for it.
     bool grantInDoubt_ { false };
+    // Connections on which the newest incarnation has reported. Its restart ends them, so a request on them cannot
+    // reach a later one.
+    std::set<std::pair<const HttpClient*, HttpConnectionId>> reporters_;
+    std::int64_t reportersStartMs_ { 0 };
     // Newest report that was handled, by the upstream's start time and clock.
     std::int64_t reportedStartMs_ { 0 };
     Platform::UpstreamClock reportedClock_;
