--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "Fleet.h"
 
+#include <algorithm>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -95,6 +96,9 @@
                 text << each << " = \"mindanao-north\"\n";
             text << "[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
                  << "[platform]\naddress = \"" << store_->address() << "\"\n";
+            if (!options.limits.empty())
+                text << "[limits]\n"
+                     << options.limits[std::min(static_cast<std::size_t>(i), options.limits.size() - 1)] << "\n";
             settingsFiles_.push_back(file);
         }
     }
