Bound what all client connections of an entry use together

Change: a server has a budget for all its connections. The entry derives it from limits.memory_mb and limits.file_descriptors of its settings. Above it the oldest incomplete request is closed, then the oldest idle connection, then the one whose client does not read; a request in progress never. Clients that send ahead are read no further while half of the bytes are in use. Accepting pauses for 50 ms after an error instead of spinning.

--- a/libs/http/include/balsammill/http/HttpServer.h
+++ b/libs/http/include/balsammill/http/HttpServer.h
@@ -3,6 +3,7 @@
 #include "balsammill/base/StrongId.h"
 #include "balsammill/base/Units.h"
 #include "balsammill/http/HttpMessages.h"
+#include "balsammill/http/Timer.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,6 +27,19 @@
     Duration idleTimeout { std::chrono::seconds(15) };
 };
 
+/// Limits on all connections of a server together.
+struct HttpServerBudget {
+    std::size_t maxConnections { 2'000 };
+    /// Received bytes that are not processed yet, requests in progress, and responses that are not sent yet.
+    std::size_t maxBufferedBytes { 32 * 1024 * 1024 };
+};
+
+/// Why a server has closed a connection to keep its budget. No request of the connection was in progress.
+enum class HttpBudgetLimit {
+    Connections,
+    BufferedBytes,
+};
+
 /// Response side of one request. Exactly one response may be sent.
 class HttpExchange {
 public:
@@ -51,12 +65,17 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     void setLimits(const HttpServerLimits&);
+    /// When a limit is reached, the oldest connection with an incomplete request is closed, or else the oldest idle
+    /// one, or else the one whose client has not read its response for the longest time; first those of a client
+    /// address that holds more than half of all connections.
+    void setBudget(const HttpServerBudget&, std::function<void(HttpBudgetLimit)> exceeded = {});
     /// Starts graceful shutdown: every further response closes its connection. New connections are still served until
     /// the load balancer stops sending them.
     void drain();
     /// Number of requests received but not yet responded to.
     std::size_t openRequests() const;
     std::size_t openConnections() const;
+    std::size_t bufferedBytes() const;
     NetworkAddress localAddress() const;
 
 private:
@@ -65,6 +84,7 @@
     void accept();
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    std::unique_ptr<Timer> acceptTimer_;
     std::shared_ptr<Shared> shared_;
 };
 
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "balsammill/http/HttpServer.h"
-#include "balsammill/http/Timer.h"
+
+#include "ConnectionTable.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -20,6 +21,10 @@
 constexpr std::size_t readBlockBytes = 8ULL * 1024;
 // Pipelined bytes that are buffered while the current request is processed; reading pauses beyond this.
 constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
+// Buffers that are larger than this are released when they are empty.
+constexpr std::size_t maxRetainedBytes = 4ULL * 1024;
+// Delay before connections are accepted again after an error, such as a lack of descriptors.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
 std::string_view reasonPhrase(unsigned status)
 {
@@ -53,6 +58,13 @@
     bool stopped { false };
     std::size_t openRequests { 0 };
     std::unordered_set<Session*> sessions;
+    Detail::ConnectionTable connections;
+    std::unordered_map<HttpConnectionId, Session*> sessionsById;
+    std::uint64_t lastConnection { 0 };
+    std::function<void(HttpBudgetLimit)> exceeded;
+
+    /// Closes connections until the budget is kept.
+    void enforceBudget();
 };
 
 class HttpServer::Session : public HttpExchange, public std::enable_shared_from_this<HttpServer::Session> {
@@ -61,11 +73,20 @@
         : socket_(std::move(socket))
         , timer_(socket_.get_executor())
         , shared_(std::move(shared))
+        , id_(++shared_->lastConnection)
     {
         shared_->sessions.insert(this);
+        shared_->sessionsById[id_] = this;
+        error_code error;
+        const auto client = socket_.remote_endpoint(error);
+        shared_->connections.add(id_, error ? std::string() : client.address().to_string());
     }
 
-    ~Session() override { shared_->sessions.erase(this); }
+    ~Session() override
+    {
+        shared_->sessions.erase(this);
+        forget();
+    }
 
     void start()
     {
@@ -83,6 +104,9 @@
         closeAfterWrite_ = closeAfterWrite_ || shared_->draining;
         responseBytes_ = serialize(response, closeAfterWrite_);
         bytesWritten_ = 0;
+        requestBytes_ = 0;
+        shared_->connections.setState(id_, Detail::ConnectionTable::State::Sending);
+        account();
         write();
     }
 
@@ -102,6 +126,7 @@
         if (closed_)
             return;
         closed_ = true;
+        forget();
         error_code ignored;
         timer_.cancel();
         socket_.close(ignored);
@@ -114,8 +139,26 @@
     }
 
 private:
+    void forget()
+    {
+        shared_->connections.remove(id_);
+        shared_->sessionsById.erase(id_);
+    }
+
+    void account()
+    {
+        if (unparsedBytes_.empty() && unparsedBytes_.capacity() > maxRetainedBytes)
+            std::string().swap(unparsedBytes_);
+        if (responseBytes_.empty() && responseBytes_.capacity() > maxRetainedBytes)
+            std::string().swap(responseBytes_);
+        const std::size_t received = parser_ && !handling_ ? parser_->get().body().size() : 0;
+        shared_->connections.setBytes(
+            id_, unparsedBytes_.capacity() + responseBytes_.capacity() + received + requestBytes_);
+    }
+
     void beginRequest()
     {
+        shared_->connections.setState(id_, Detail::ConnectionTable::State::Idle);
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(shared_->limits.maxHeaderBytes));
         parser_->body_limit(shared_->limits.maxBodyBytes);
@@ -138,6 +181,10 @@
     {
         if (closed_ || reading_ || unparsedBytes_.size() > maxPipelinedBytes)
             return;
+        // Only clients that send requests in advance wait: reading also detects that a client has left.
+        const bool busy = handling_ || !responseBytes_.empty();
+        if (busy && !unparsedBytes_.empty() && !shared_->connections.mayReadAhead())
+            return;
         reading_ = true;
         socket_.async_read_some(
             asio::buffer(readBuffer_), [self = shared_from_this()](error_code error, std::size_t count) {
@@ -150,6 +197,8 @@
                 }
                 self->unparsedBytes_.append(self->readBuffer_.data(), count);
                 self->parse();
+                self->account();
+                self->shared_->enforceBudget();
                 self->read();
             });
     }
@@ -160,6 +209,7 @@
             return;
         if (!requestStarted_) {
             requestStarted_ = true;
+            shared_->connections.setState(id_, Detail::ConnectionTable::State::Receiving);
             armTimer(shared_->limits.requestTimeout);
         }
         error_code error;
@@ -200,6 +250,7 @@
         else if (error == http::error::body_limit)
             status = 413;
         closeAfterWrite_ = true;
+        shared_->connections.setState(id_, Detail::ConnectionTable::State::Sending);
         responseBytes_ = serialize({ .status = status, .fields = {}, .body = {} }, true);
         bytesWritten_ = 0;
         unparsedBytes_.clear();
@@ -220,6 +271,8 @@
         continueSent_ = false;
         handling_ = true;
         ++shared_->openRequests;
+        shared_->connections.setState(id_, Detail::ConnectionTable::State::Busy);
+        requestBytes_ = request.target.size() + request.body.size();
         timer_.cancel();
         shared_->handler(std::move(request), shared_from_this());
     }
@@ -246,6 +299,7 @@
             return;
         }
         responseBytes_.clear();
+        account();
         if (closeAfterWrite_) {
             error_code ignored;
             socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -260,6 +314,9 @@
     asio::ip::tcp::socket socket_;
     Timer timer_;
     std::shared_ptr<Shared> shared_;
+    HttpConnectionId id_;
+    // Size of the request in progress.
+    std::size_t requestBytes_ { 0 };
     std::optional<http::request_parser<http::string_body>> parser_;
     std::array<char, readBlockBytes> readBuffer_;
     std::string unparsedBytes_;
@@ -274,8 +331,23 @@
     bool closed_ { false };
 };
 
+void HttpServer::Shared::enforceBudget()
+{
+    while (const auto id = connections.excessBytes()) {
+        sessionsById.at(*id)->close();
+        if (exceeded)
+            exceeded(HttpBudgetLimit::BufferedBytes);
+    }
+    while (const auto id = connections.excessConnection()) {
+        sessionsById.at(*id)->close();
+        if (exceeded)
+            exceeded(HttpBudgetLimit::Connections);
+    }
+}
+
 HttpServer::HttpServer(asio::io_context& context, const NetworkAddress& address, HttpHandler handler)
     : acceptor_(context, parseEndpoint(address))
+    , acceptTimer_(std::make_unique<Timer>(context))
     , shared_(std::make_shared<Shared>())
 {
     shared_->handler = std::move(handler);
@@ -299,15 +371,30 @@
     acceptor_.async_accept([this, shared = shared_](error_code error, asio::ip::tcp::socket socket) {
         if (shared->stopped || error == asio::error::operation_aborted)
             return;
-        if (!error) {
-            error_code ignored;
-            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), shared)->start();
+        if (error) {
+            acceptTimer_->expires_after(acceptRetryDelay);
+            acceptTimer_->async_wait([this, shared](error_code timerError) {
+                if (!timerError && !shared->stopped)
+                    accept();
+            });
+            return;
         }
+        error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        std::make_shared<Session>(std::move(socket), shared)->start();
+        shared->enforceBudget();
         accept();
     });
 }
 
+void HttpServer::setBudget(const HttpServerBudget& budget, std::function<void(HttpBudgetLimit)> exceeded)
+{
+    shared_->connections.setBudget(budget);
+    shared_->exceeded = std::move(exceeded);
+}
+
+std::size_t HttpServer::bufferedBytes() const { return shared_->connections.bytes(); }
+
 void HttpServer::setLimits(const HttpServerLimits& limits) { shared_->limits = limits; }
 
 void HttpServer::drain() { shared_->draining = true; }
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include "NodeContext.h"
 #include "TableFollower.h"
 #include "TimeBudgets.h"
+#include "clients/ClientBudget.h"
 #include "clients/ClientRequestHandler.h"
 #include "clients/JobClient.h"
 #include "clients/JobMessageCodec.h"
@@ -162,6 +163,9 @@
         , signals(loop, SIGTERM, SIGINT, SIGHUP)
         , tick(loop)
     {
+        clientServer.setBudget(clientBudget(settings), [this](HttpBudgetLimit limit) { front.handleLimit(limit); });
+        readinessServer.setBudget(internalBudget());
+        metricsServer.setBudget(internalBudget());
         operatorRows.start();
         shardRows.start();
         waitForSignal();
@@ -452,6 +456,7 @@
         metrics.set(
             "balsammill_peer_bytes_sent", R"(to="other_domains")", static_cast<double>(peers.sentBytes().otherDomains));
         metrics.set("balsammill_open_requests", {}, static_cast<double>(clientServer.openRequests()));
+        metrics.set("balsammill_buffered_bytes", {}, static_cast<double>(clientServer.bufferedBytes()));
         metrics.set("balsammill_open_connections", {}, static_cast<double>(clientServer.openConnections()));
         metrics.set("balsammill_evacuated_domains", {}, static_cast<double>(context.evacuations.size()));
         metrics.set("balsammill_log_lines_dropped", {}, static_cast<double>(log.droppedLines()));
--- a/libs/node/src/clients/ClientRequestHandler.cpp
+++ b/libs/node/src/clients/ClientRequestHandler.cpp
@@ -18,6 +18,9 @@
 // Requests that wait for the first configuration; bounds the memory for them.
 constexpr std::size_t maxEarlyRequests = 500;
 
+// A crowd of clients reaches a limit with each of its connections.
+constexpr Duration limitLineInterval = std::chrono::seconds(1);
+
 // Owners report their counts every 100 ms; a new owner loads its jobs within this time.
 constexpr Duration noCountRetryAfter = std::chrono::seconds(1);
 // Other entries of the failure domain accept connections at once.
@@ -100,6 +103,18 @@
     });
 }
 
+void ClientRequestHandler::handleLimit(HttpBudgetLimit limit)
+{
+    const std::string reason = limit == HttpBudgetLimit::Connections ? "connections" : "buffered_bytes";
+    context_.metrics.add("balsammill_connections_closed_total", "reason=\"" + reason + "\"");
+    const auto now = monotonicNow();
+    auto& nextLine = nextLimitLine_[limit];
+    if (now < nextLine)
+        return;
+    nextLine = now + limitLineInterval;
+    context_.log.event("client.limit_reached", { { "reason", reason } });
+}
+
 void ClientRequestHandler::refuseUnconfigured(HttpExchange& exchange)
 {
     context_.metrics.add("balsammill_refused_without_configuration_total");
--- a/libs/node/src/clients/ClientRequestHandler.h
+++ b/libs/node/src/clients/ClientRequestHandler.h
@@ -6,6 +6,7 @@
 #include "balsammill/http/HttpServer.h"
 #include "balsammill/routing/RoutingConfig.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -24,6 +25,8 @@
     /// on.
     void stopAt(TimePoint time) { stopAt_ = time; }
     void handle(const HttpRequest&, const std::shared_ptr<HttpExchange>&);
+    /// A client connection was closed to keep the limits on all of them.
+    void handleLimit(HttpBudgetLimit);
 
 private:
     // A request that arrived before the first configuration.
@@ -48,6 +51,8 @@
     JobClient& jobs_;
     std::shared_ptr<const QueueTable> queues_;
     std::vector<EarlyRequest> earlyRequests_;
+    // When the next log line about a limit may be written.
+    std::map<HttpBudgetLimit, TimePoint> nextLimitLine_;
     TimePoint stopAt_ { TimePoint::max() };
 };
 
--- a/tests/platform/ClientCrowd.cpp
+++ b/tests/platform/ClientCrowd.cpp
@@ -72,9 +72,10 @@
                 continue;
             auto& target = *targets[i];
             const bool begins = target.sent < opening.size();
-            const auto text = begins ? opening.substr(target.sent) : block.substr((target.sent - opening.size()) % repeated.size());
-            const auto count = ::send(target.descriptor, text.data(),
-                std::min(text.size(), bytesPerConnection - target.sent), MSG_NOSIGNAL);
+            const auto text
+                = begins ? opening.substr(target.sent) : block.substr((target.sent - opening.size()) % repeated.size());
+            const auto count = ::send(
+                target.descriptor, text.data(), std::min(text.size(), bytesPerConnection - target.sent), MSG_NOSIGNAL);
             if (count > 0) {
                 target.sent += static_cast<std::size_t>(count);
             } else if (errno != EAGAIN) {
--- a/tests/platform/ClientLimitTests.cpp
+++ b/tests/platform/ClientLimitTests.cpp
@@ -30,9 +30,9 @@
 
     explicit CrowdedEntry(const std::string& name)
         : fleet({ .name = name,
-              .entriesPerDomain = 1,
-              .limits = { "memory_mb = " + std::to_string(memoryMb)
-                  + "\nfile_descriptors = " + std::to_string(descriptors) } })
+            .entriesPerDomain = 1,
+            .limits
+            = { "memory_mb = " + std::to_string(memoryMb) + "\nfile_descriptors = " + std::to_string(descriptors) } })
     {
         REQUIRE(fleet.waitUntilReady());
     }
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -1,11 +1,11 @@
 #include "Fleet.h"
 
-#include <algorithm>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
+#include <algorithm>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -42,8 +42,8 @@
         /// If not empty, the advice service allows only these upstreams, and upstreams refuse starts without its
         /// ticket.
         std::set<std::string> advisedUpstreams {};
-        /// Lines of the table "limits" in the settings of each entry; one string for each entry of a domain, the last one
-        /// for all further ones.
+        /// Lines of the table "limits" in the settings of each entry; one string for each entry of a domain, the last
+        /// one for all further ones.
         std::vector<std::string> limits {};
         /// Extra environment variables of the entries.
         std::map<std::string, std::string> environment {};
