Give shards to the VMs that can carry them

Cause: the successor was picked in turn, claims of unequal VMs were 8 ms apart, and nothing moved a shard afterwards. Change: entries state processor, link and memory in PeerHello; a leaving owner asks the most suitable entry first, counting the shards that it has been asked to take; a VM with less than a shard needs delays its claim by up to 120 ms; an owner offers its shard to a VM that carries it twice as well, not within 10 s, and after 2 s if its event loop cannot keep up. Equal VMs are not moved. Timeouts of upstreams are not used as evidence of overload: they cannot be told apart from a loss of these upstreams. The messages gain fields only.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -114,7 +114,8 @@
         , peers(loop,
               { .listen = settings.peerListen,
                   .self = { .vm = settings.vm, .incarnation = context.incarnation },
-                  .domain = settings.domain },
+                  .domain = settings.domain,
+                  .capacity = capacityOf(settings) },
               { .message = [this](PeerLink& from, const auto& message) { handlePeerMessage(from, message); },
                   .closed = [this](PeerLink& link) { handlePeerClosed(link); } })
         , operatorRows(loop, store, Platform::operatorTable, Duration::zero(),
@@ -458,6 +459,7 @@
         metrics.set("balsammill_open_requests", {}, static_cast<double>(clientServer.openRequests()));
         metrics.set("balsammill_buffered_bytes", {}, static_cast<double>(clientServer.bufferedBytes()));
         metrics.set("balsammill_open_connections", {}, static_cast<double>(clientServer.openConnections()));
+        metrics.set("balsammill_loop_lag_ms", {}, toMs(context.loopLag.lastLag()));
         metrics.set("balsammill_evacuated_domains", {}, static_cast<double>(context.evacuations.size()));
         metrics.set("balsammill_log_lines_dropped", {}, static_cast<double>(log.droppedLines()));
         for (const auto& [name, server] : ownership.servers()) {
@@ -482,11 +484,21 @@
         tick.async_wait([this](const boost::system::error_code& error) {
             if (error)
                 return;
+            noteTick();
             advance();
             scheduleTick();
         });
     }
 
+    void noteTick()
+    {
+        const bool wasOverloaded = context.loopLag.isOverloaded();
+        context.loopLag.noteTick(tick.expiry(), monotonicNow());
+        const bool overloaded = context.loopLag.isOverloaded();
+        if (overloaded != wasOverloaded)
+            log.event("process.overloaded", { { "overloaded", overloaded ? "yes" : "no" } });
+    }
+
     void advance()
     {
         const auto now = monotonicNow();
--- a/libs/node/src/NodeContext.h
+++ b/libs/node/src/NodeContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LoopLagMonitor.h"
 #include "StallDetector.h"
 #include "ownership/EvacuationTable.h"
 
@@ -22,6 +23,7 @@
     StructuredLog& log;
     Metrics& metrics;
     StallDetector stall {};
+    LoopLagMonitor loopLag {};
     EvacuationTable evacuations {};
 
     /// Logs and counts a malformed record of the store.
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -22,10 +22,6 @@
 constexpr Duration layoutDelay = std::chrono::milliseconds(2500);
 // Number of upstreams that an owner with a quarter of a core can serve.
 constexpr std::size_t upstreamsPerShard = 24;
-// Time within which an entry that was asked to take over a shard writes its claim.
-constexpr Duration takeOverRequestTimeout = std::chrono::milliseconds(400);
-// Interval of the offers of a shard to the entries of its own failure domain, which may not reach the store yet.
-constexpr Duration returnOfferInterval = std::chrono::milliseconds(1000);
 // How long a new owner waits for the predecessor's handover data, and the predecessor for a connection to the new
 // owner.
 constexpr Duration handOverTimeout = std::chrono::milliseconds(1500);
@@ -120,9 +116,7 @@
             renew(name, now, true);
         else if (now >= state.renewAt || state.recordDurableJobs)
             renew(name, now, false);
-        const bool returns = isRemote(name) && server->predecessor().vm.empty();
-        if ((leaving_ || returns) && now >= state.nextRequestAt)
-            requestTakeOver(name, now);
+        offerIfDue(name, *server, now);
     }
     std::erase_if(outgoingHandOvers_, [&](const OutgoingHandOver& each) {
         if (sendHandOver(each.content, each.successor))
@@ -153,6 +147,7 @@
         .connectedToOthers = peers_.connectedToAny() || !hasOtherOwner(owner),
         .ownedShards = static_cast<unsigned>(servers_.size()),
         .processorShare = context_.settings.processorShare,
+        .capacity = capacityOf(context_.settings),
         .claimantIsRemote = isRemote(name),
         .now = now };
     question.shard.ownedHere = servers_.contains(name);
@@ -173,37 +168,11 @@
         claim(name, {}, now);
 }
 
-void ShardOwnership::handleTakeOver(const PeerLink& from, const Shards::ShardName& name, Epoch epoch)
-{
-    const auto* owner = directory_.find(name);
-    if (leaving_ || owner == nullptr || owner->epoch != epoch || owner->vm != from.peer().vm
-        || recordStates_[name].writeInFlight)
-        return;
-    claim(name, from.peer(), monotonicNow());
-}
-
 bool ShardOwnership::isRemote(const Shards::ShardName& name) const
 {
     return ShardDirectory::domainOf(name) != context_.settings.domain;
 }
 
-void ShardOwnership::requestTakeOver(const Shards::ShardName& name, TimePoint now)
-{
-    auto candidates = peers_.peersIn(ShardDirectory::domainOf(name));
-    if (candidates.empty() && leaving_)
-        candidates = peers_.peersIn(context_.settings.domain);
-    if (candidates.empty())
-        return;
-    auto& state = recordStates_[name];
-    state.nextRequestAt = now + (leaving_ ? takeOverRequestTimeout : returnOfferInterval);
-    const auto& candidate = candidates[state.requestCount++ % candidates.size()];
-    context_.log.event("shard.offered", { { "shard", name.value }, { "to", candidate->peer().vm.value } });
-    balsammill::internal::ShardPeerMessage message;
-    message.mutable_take_over()->set_shard(name.value);
-    message.mutable_take_over()->set_epoch(servers_.at(name)->epoch().value);
-    candidate->send(message);
-}
-
 void ShardOwnership::handOver(const Shards::ShardName& name, const ShardOwner& successor)
 {
     auto server = std::move(servers_.at(name));
@@ -266,17 +235,6 @@
     link->send(message);
 }
 
-void ShardOwnership::handleTaken(
-    const PeerLink& from, const Shards::ShardName& name, Epoch epoch, const NetworkAddress& address)
-{
-    const auto* server = serverOf(name);
-    const bool offered = leaving_ || isRemote(name);
-    if (server == nullptr || server->epoch() >= epoch || !offered)
-        return;
-    handOver(
-        name, { .epoch = epoch, .vm = from.peer().vm, .incarnation = from.peer().incarnation, .address = address });
-}
-
 void ShardOwnership::cancel(const Submitter& submitter)
 {
     for (auto& [name, server] : servers_)
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -12,6 +12,9 @@
 
 namespace Balsammill {
 
+/// What the VM of an entry with these settings can carry.
+Shards::EntryCapacity capacityOf(const NodeSettings&);
+
 /// Claims shards that have no owner, renews or releases the owned shards, and assigns upstreams to their servers.
 /// Shards of other failure domains are claimed only if no entry of their domain does so for a long time, and are handed
 /// back to the first one that returns.
@@ -66,6 +69,9 @@
         TimePoint retryAt {};
         TimePoint nextRequestAt {};
         unsigned requestCount { 0 };
+        /// The entry that was last asked to take the shard over, and the epoch of this owner at that time.
+        VmName offeredTo {};
+        Epoch offeredEpoch {};
         /// The next write of the record has to mark the shard as having durable jobs.
         bool recordDurableJobs { false };
     };
@@ -77,6 +83,13 @@
     /// Asks an entry to take the shard over; one of the shard's own failure domain if any is connected. Without one, a
     /// leaving process asks entries of its own domain.
     void requestTakeOver(const Shards::ShardName&, TimePoint now);
+    /// Offers the shard to another entry if this process leaves, if an entry of the shard's own failure domain may have
+    /// returned, or if another VM would carry the shard better.
+    void offerIfDue(const Shards::ShardName&, const ShardServer&, TimePoint now);
+    void offer(const Shards::ShardName&, const VmName& to, std::string_view reason, TimePoint nextRequestAt);
+    unsigned shardsOwnedBy(const VmName&, TimePoint now) const;
+    /// The connected entries of a failure domain that are not shutting down, the most suitable owner first.
+    std::vector<Shards::OwnerCandidate> candidatesIn(const FailureDomain&, TimePoint now) const;
     /// True if the shard belongs to another failure domain than this entry.
     bool isRemote(const Shards::ShardName&) const;
     void notifyTaken(const Shards::ShardName&, const ShardOwner&);
@@ -131,6 +144,8 @@
     Handlers handlers_;
     TimePoint releaseAt_ {};
     TimePoint startedAt_ {};
+    // When a shard was last offered although this process does not leave.
+    TimePoint lastMoveOfferAt_ {};
     bool layoutWriteInFlight_ { false };
     bool leaving_ { false };
     std::shared_ptr<bool> alive_;
--- a/libs/node/src/peers/PeerLink.h
+++ b/libs/node/src/peers/PeerLink.h
@@ -2,6 +2,7 @@
 
 #include "balsammill/base/StrongId.h"
 #include "balsammill/base/Units.h"
+#include "balsammill/shards/OwnerSelection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -67,10 +68,13 @@
     CloseReason closeReason() const { return closeReason_; }
     const PeerId& peer() const { return peer_; }
     const FailureDomain& domain() const { return domain_; }
-    void setPeer(PeerId peer, FailureDomain domain)
+    /// What the other process's VM can carry.
+    const Shards::EntryCapacity& capacity() const { return capacity_; }
+    void setPeer(PeerId peer, FailureDomain domain, const Shards::EntryCapacity& capacity)
     {
         peer_ = std::move(peer);
         domain_ = std::move(domain);
+        capacity_ = capacity;
     }
     /// True if the other process has reported that it is shutting down.
     bool leaving() const { return leaving_; }
@@ -90,6 +94,7 @@
     CloseHandler onClose_;
     PeerId peer_;
     FailureDomain domain_;
+    Shards::EntryCapacity capacity_;
     bool leaving_ { false };
     std::array<char, 16 * 1024> readBuffer_;
     std::string inputBuffer_;
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -76,6 +76,9 @@
     hello->set_vm(options_.self.vm.value);
     hello->set_incarnation(options_.self.incarnation.value);
     hello->set_failure_domain(options_.domain.value);
+    hello->set_processor_milli_cores(options_.capacity.processorMilliCores);
+    hello->set_link_kbit_per_s(options_.capacity.linkKbitPerSecond);
+    hello->set_memory_mb(options_.capacity.memoryMb);
     link.send(message);
 }
 
@@ -147,8 +150,12 @@
         return;
     }
     if (message.has_hello()) {
-        from.setPeer({ .vm = VmName(message.hello().vm()), .incarnation = Incarnation(message.hello().incarnation()) },
-            FailureDomain(message.hello().failure_domain()));
+        const auto& hello = message.hello();
+        from.setPeer({ .vm = VmName(hello.vm()), .incarnation = Incarnation(hello.incarnation()) },
+            FailureDomain(hello.failure_domain()),
+            { .processorMilliCores = hello.processor_milli_cores(),
+                .linkKbitPerSecond = hello.link_kbit_per_s(),
+                .memoryMb = hello.memory_mb() });
         for (auto& [address, entry] : outbound_) {
             if (entry.link.get() == &from)
                 entry.state = Shards::PeerState::Connected;
@@ -218,6 +225,16 @@
     return newest;
 }
 
+std::shared_ptr<PeerLink> PeerNetwork::linkOfVm(const VmName& vm) const
+{
+    std::shared_ptr<PeerLink> newest;
+    for (const auto& link : openLinks()) {
+        if (link->peer().vm == vm && !link->leaving() && (!newest || link->id() > newest->id()))
+            newest = link;
+    }
+    return newest;
+}
+
 void PeerNetwork::sendToAll(const balsammill::internal::ShardPeerMessage& message)
 {
     // send() closes a connection with too much unsent output, which changes the sets, so the loop iterates over a copy.
--- a/libs/node/src/peers/PeerNetwork.h
+++ b/libs/node/src/peers/PeerNetwork.h
@@ -18,6 +18,7 @@
         NetworkAddress listen;
         PeerId self;
         FailureDomain domain;
+        Shards::EntryCapacity capacity {};
     };
     struct Handlers {
         std::function<void(PeerLink&, const balsammill::internal::ShardPeerMessage&)> message;
@@ -47,6 +48,8 @@
     /// The newest open connection to or from this process run, as an older one may have gone silent; null if there is
     /// none.
     std::shared_ptr<PeerLink> linkOf(const PeerId&) const;
+    /// As linkOf(), for the newest process run on a VM.
+    std::shared_ptr<PeerLink> linkOfVm(const VmName&) const;
     bool connectedTo(const PeerId& peer) const { return linkOf(peer) != nullptr; }
     void sendToAll(const balsammill::internal::ShardPeerMessage&);
     SentBytes sentBytes() const;
--- a/libs/routing/include/balsammill/routing/NodeSettings.h
+++ b/libs/routing/include/balsammill/routing/NodeSettings.h
@@ -32,6 +32,8 @@
     double storeWritesPerSecond { 800 };
     /// Processor time that this process may use, in cores; VMs with more of it are preferred as shard owners.
     double processorShare { 1.0 };
+    /// Bandwidth of the VM's link in Mbit/s; 0 if unknown.
+    double linkMbps { 0 };
     /// Memory that this process may use, in MB; 0 if unknown.
     std::uint64_t memoryMb { 0 };
     /// Descriptors that this process may have open; 0 if unknown.
--- a/libs/shards/include/balsammill/shards/OwnershipPolicy.h
+++ b/libs/shards/include/balsammill/shards/OwnershipPolicy.h
@@ -2,6 +2,7 @@
 
 #include "balsammill/base/StrongId.h"
 #include "balsammill/base/Units.h"
+#include "balsammill/shards/OwnerSelection.h"
 
 #include <chrono>
 #include <optional>
@@ -57,6 +58,7 @@
     unsigned ownedShards { 0 };
     /// Share of a core that this entry can use, from 0 to 1.
     double processorShare { 1.0 };
+    EntryCapacity capacity {};
     /// This entry is outside the shard's failure domain.
     bool claimantIsRemote { false };
     TimePoint now {};
--- a/libs/shards/src/OwnershipPolicy.cpp
+++ b/libs/shards/src/OwnershipPolicy.cpp
@@ -18,7 +18,7 @@
 Duration claimDelay(const ClaimRequest& question)
 {
     const double weakness = 1.0 - std::clamp(question.processorShare, 0.0, 1.0);
-    return delayPerOwnedShard * question.ownedShards
+    return claimDelayFor(question.capacity) + delayPerOwnedShard * question.ownedShards
         + Duration(static_cast<Duration::rep>(weakness * static_cast<double>(maxWeaknessDelay.count())));
 }
 
