Place tasks that slow each other down on different upstreams

Placement adds the expected loss of both sides to the cost of an upstream; it refuses nothing, and without a recognised pair nothing changes.

--- a/libs/node/src/clients/JobMessageCodec.cpp
+++ b/libs/node/src/clients/JobMessageCodec.cpp
@@ -50,6 +50,7 @@
         out->set_gang(step.gang);
         out->set_same_rack(step.sameRack);
         out->set_checkpoints(step.checkpoints);
+        out->set_image(step.image);
     }
 }
 
@@ -86,6 +87,7 @@
         step.gang = in.gang();
         step.sameRack = in.same_rack();
         step.checkpoints = in.checkpoints();
+        step.image = in.image();
         spec.steps.push_back(std::move(step));
     }
     return spec;
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -547,6 +547,7 @@
     checkUnconfirmed(now);
     updateEvacuation();
     engine_.advance(now);
+    reportInterference();
     durable_.advance();
     const auto sessions = sessions_;
     for (const auto& [id, session] : sessions)
--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -116,6 +116,8 @@
 
     void runScheduler();
     void updateEvacuation();
+    /// Logs and counts what the engine has learned about tasks that slow each other down.
+    void reportInterference();
     /// Answers a submission whose job cannot run because the failure domain is evacuated.
     void answerEvacuated(const OpenSubmission&, const Shards::FinishJob&);
     void execute(const Shards::ShardActions&);
@@ -177,6 +179,7 @@
     PeerId predecessor_;
     // Progress of durable jobs as sent by the predecessor, kept until the journal has been read.
     std::vector<Shards::TransferredJob> inheritedDurableJobs_;
+    std::uint64_t reportedPlacementsApart_ { 0 };
     bool scheduling_ { false };
     bool scheduleAgain_ { false };
     bool abandoned_ { false };
--- a/libs/node/src/serving/ShardServerActions.cpp
+++ b/libs/node/src/serving/ShardServerActions.cpp
@@ -83,6 +83,24 @@
     entry.callback({ .kind = answerKind(finished.result), .retryAfter = {}, .redirect = {} });
 }
 
+void ShardServer::reportInterference()
+{
+    for (const auto& change : engine_.takeInterferenceChanges()) {
+        const auto& found = change.interference;
+        context_.log.event(change.begins ? "interference.detected" : "interference.ended",
+            { { "shard", name_.value }, { "kind", found.kind }, { "beside", found.beside },
+                { "factor_percent", static_cast<std::int64_t>(found.factor * 100) },
+                { "samples", std::uint64_t { found.samples } } });
+        context_.metrics.set("balsammill_interference_factor",
+            "shard=\"" + name_.value + "\",kind=\"" + found.kind + "\",beside=\"" + found.beside + "\"",
+            change.begins ? found.factor : 1.0);
+    }
+    const auto apart = engine_.placementsApart();
+    if (apart > reportedPlacementsApart_)
+        context_.metrics.add("balsammill_placements_apart_total", "shard=\"" + name_.value + "\"",
+            apart - std::exchange(reportedPlacementsApart_, apart));
+}
+
 void ShardServer::answerEvacuated(const OpenSubmission& entry, const Shards::FinishJob& finished)
 {
     const auto decision = Shards::decideAdmission({ .job = *finished.spec,
--- a/libs/shards/include/balsammill/shards/JobSpec.h
+++ b/libs/shards/include/balsammill/shards/JobSpec.h
@@ -55,6 +55,8 @@
     bool gang { false };
     /// The tasks run slower if they are spread over several racks.
     bool sameRack { false };
+    /// Names what the tasks run; empty if the client does not state it.
+    std::string image {};
     /// A restarted task resumes from the checkpoint of its last run.
     bool checkpoints { false };
 };
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balsammill/shards/InterferenceModel.h"
 #include "balsammill/shards/JobTransfer.h"
 #include "balsammill/shards/ShardActions.h"
 #include "balsammill/shards/StepPermits.h"
@@ -174,6 +175,12 @@
     /// Best-effort jobs that cannot go on are finished, durable ones wait. std::nullopt ends the evacuation.
     void setEvacuation(std::optional<TimePoint> noStartsFrom) { noStartsFrom_ = noStartsFrom; }
 
+    /// What the shard's tasks show about kinds of tasks that slow each other down.
+    const InterferenceModel& interference() const { return interference_; }
+    std::vector<InterferenceChange> takeInterferenceChanges() { return interference_.takeChanges(); }
+    /// Number of tasks that were placed on another upstream than without the interference model.
+    std::uint64_t placementsApart() const { return placementsApart_; }
+
     /// Stops overdue tasks, and finishes jobs as NotRun that have not started and can no longer end in time.
     void advance(TimePoint now);
     /// Starts the waiting tasks that fit. Call it after handling events and before takeActions().
@@ -248,6 +255,9 @@
     void finishJob(Job&, JobResult, TimePoint now);
     void suspect(Upstream&, TimePoint now);
     void checkOverdue(Upstream&, TimePoint now);
+    /// Notes on both sides which kinds of tasks run beside each other.
+    static void noteNeighbours(Upstream&, Run&);
+    static TaskKinds kindsOn(const Upstream&);
     bool stepIsReady(const Job&, std::uint32_t step) const;
     Duration remainingCriticalPath(const Job&) const;
     Duration criticalPath(const JobSpec&) const;
@@ -272,6 +282,8 @@
 
     Options options_;
     RunTimeModel model_;
+    InterferenceModel interference_;
+    std::uint64_t placementsApart_ { 0 };
     std::map<UpstreamId, Upstream> upstreams_;
     std::unordered_map<OccurrenceKey, std::unique_ptr<Job>> jobs_;
     std::unordered_map<SubmissionId, OccurrenceKey> submissions_;
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -34,6 +34,9 @@
     // Adopted for an inherited submission that its origin has not confirmed yet.
     bool awaitsConfirmation { false };
     Resources need {};
+    // Kind of the task, if it is tracked, and the kinds that have run beside it.
+    std::optional<TaskKind> kind {};
+    TaskKinds beside { 0 };
     // Started by an earlier owner; the capacity that it uses is unknown.
     bool startedByEarlierOwner { false };
     // Adopted without its start time, so its run time is not passed to the run time model.
--- a/libs/shards/src/ShardEngineEnds.cpp
+++ b/libs/shards/src/ShardEngineEnds.cpp
@@ -1,6 +1,7 @@
 #include "ShardEngineDetail.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Balsammill::Shards {
 
@@ -12,6 +13,8 @@
 constexpr Duration maxRestartBackoff = std::chrono::seconds(2);
 // A run of a long-running task that lasted this long does not count as a failed start and resets the backoff.
 constexpr Duration stableRunTime = std::chrono::seconds(5);
+// Keeps ratios of run times finite.
+constexpr Duration minRunTime = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -96,6 +99,13 @@
     step.observed += Duration(
         static_cast<Duration::rep>(static_cast<double>(runTime.count()) / model_.slowness(upstream.info.id)));
     ++step.observations;
+    if (run.kind) {
+        const auto predicted = std::max<Duration>(model_.predict(*job.spec, job.spec->steps[key.step]), minRunTime);
+        interference_.record(*run.kind, upstream.info.id,
+            std::log(static_cast<double>(std::max<Duration>(runTime, minRunTime).count())
+                / static_cast<double>(predicted.count())),
+            run.beside, now);
+    }
     model_.record(*job.spec, job.spec->steps[key.step], upstream.info.id, runTime);
 }
 
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -59,6 +59,7 @@
     found->second.registered = false;
     if (found->second.runs.empty()) {
         model_.forget(id);
+        interference_.forget(id);
         upstreams_.erase(found);
     }
 }
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -16,6 +16,9 @@
 // Cost of an upstream in another rack than the task's data or the related tasks. The task takes up to twice as long
 // there.
 constexpr double otherRackCost = 1.0;
+// Weight of the expected slowdown by other tasks on the upstream. The ratings of upstreams vary by a third, and would
+// outweigh a slowdown by half without it.
+constexpr double interferenceWeight = 2.0;
 // Cost of a cold upstream: its tasks take longer, so a warm one is preferred even in another rack.
 constexpr double coldCost = 1.5;
 // Cost of an upstream on which the last run of the task failed, was overdue or, for a long-running task, ended too
@@ -98,8 +101,11 @@
 {
     const auto& step = job.spec->steps[stepIndex];
     const auto latestEnd = latestEndFor(job.origin);
+    const auto kind = interference_.any() ? interference_.kindOf(*job.spec, step, now) : std::optional<TaskKind>();
     Upstream* best = nullptr;
+    Upstream* bestWithoutInterference = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    double bestCostWithoutInterference = std::numeric_limits<double>::max();
     for (auto& [id, upstream] : upstreams_) {
         if (!isUsable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
             || !step.need.fitsIn(usableCapacity(upstream, now)))
@@ -128,14 +134,41 @@
             cost += coldCost;
         if (task.avoid == id)
             cost += failedRunCost;
+        if (cost < bestCostWithoutInterference) {
+            bestCostWithoutInterference = cost;
+            bestWithoutInterference = &upstream;
+        }
+        if (kind)
+            cost += interferenceWeight * interference_.cost(*kind, kindsOn(upstream));
         if (cost < bestCost) {
             bestCost = cost;
             best = &upstream;
         }
     }
+    placementsApart_ += best != bestWithoutInterference ? 1 : 0;
     return best;
 }
 
+TaskKinds ShardEngine::kindsOn(const Upstream& upstream)
+{
+    TaskKinds kinds = 0;
+    for (const auto& [key, run] : upstream.runs)
+        kinds |= run.kind ? InterferenceModel::bitOf(*run.kind) : 0;
+    return kinds;
+}
+
+void ShardEngine::noteNeighbours(Upstream& upstream, Run& started)
+{
+    if (!started.kind)
+        return;
+    for (auto& [key, run] : upstream.runs) {
+        if (&run == &started || !run.kind)
+            continue;
+        run.beside |= InterferenceModel::bitOf(*started.kind);
+        started.beside |= InterferenceModel::bitOf(*run.kind);
+    }
+}
+
 void ShardEngine::startTask(
     Job& job, std::uint32_t stepIndex, std::uint32_t index, Upstream& upstream, RunNumber number, TimePoint now)
 {
@@ -157,17 +190,19 @@
     job.started = true;
     job.lastStartAt = now;
     upstream.freeCapacity -= spec.need;
-    upstream.runs.emplace(key,
+    const auto [started, added] = upstream.runs.emplace(key,
         Run { .number = number,
             .job = job.key,
             .upstream = upstream.info.id,
             .origin = job.origin,
             .need = spec.need,
+            .kind = interference_.kindOf(*job.spec, spec, now),
             .startedCold = upstream.isCold(now),
             .state = RunState::StartSent,
             .startSentAt = now,
             .expectedEnd = now + adjustedRunTime,
             .checkAt = now + adjustedRunTime + std::max(lateEndMargin, adjustedRunTime / lateEndDivisor) });
+    noteNeighbours(upstream, started->second);
     ++liveRuns_[key];
     const auto* ticket = job.spec->advice ? step.permits.ticketFor(upstream.info, now) : nullptr;
     actions_.emplace_back(StartTask { .upstream = upstream.info.id,
