Bind the answer of an owner to the attempt that it answers

Cause: all attempts of a request bore one number, and an owner answers on any open connection when the one of the request is closed. Each attempt of a request for a home shard has its own number now; answers to earlier ones are ignored.

--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -212,10 +212,39 @@
     request.waitingForOwnerSince.reset();
     request.shard = target.shard;
     request.link = target.link;
+    const auto attempt = beginAttempt(number, request);
     if (const auto* submission = std::get_if<Submission>(&request.operation))
-        sendSubmission(number, request, target, *submission);
+        sendSubmission(attempt, request, target, *submission);
     else
-        sendQuery(number, target, std::get<JobQuery>(request.operation));
+        sendQuery(attempt, target, std::get<JobQuery>(request.operation));
+}
+
+RequestNumber JobClient::beginAttempt(RequestNumber number, Request& request)
+{
+    // A best-effort job is identified by its number also in handovers and confirmations, and is sent again only after
+    // an owner has answered.
+    if (!hasHomeShard(request))
+        return number;
+    attempts_.erase(request.attempt);
+    request.attempt = RequestNumber { ++lastRequest_ };
+    attempts_[request.attempt] = number;
+    return request.attempt;
+}
+
+std::optional<RequestNumber> JobClient::requestOfAttempt(RequestNumber attempt) const
+{
+    if (const auto found = attempts_.find(attempt); found != attempts_.end())
+        return found->second;
+    const auto found = requests_.find(attempt);
+    return found == requests_.end() || hasHomeShard(found->second) ? std::nullopt : std::optional(attempt);
+}
+
+JobClient::Request JobClient::take(RequestNumber number)
+{
+    auto request = std::move(requests_.at(number));
+    attempts_.erase(request.attempt);
+    requests_.erase(number);
+    return request;
 }
 
 void JobClient::sendSubmission(
@@ -280,11 +309,9 @@
 
 void JobClient::cancel(RequestNumber number)
 {
-    const auto found = requests_.find(number);
-    if (found == requests_.end())
+    if (!requests_.contains(number))
         return;
-    const auto request = std::move(found->second);
-    requests_.erase(found);
+    const auto request = take(number);
     // Request numbers are unique, so local servers without this submission ignore the call.
     ownership_.cancel({ .peer = {}, .number = number.value });
     if (const auto link = request.link.lock()) {
@@ -345,12 +372,13 @@
     link->send(message);
 }
 
-void JobClient::handleAnswer(RequestNumber number, const OwnerAnswer& result)
+void JobClient::handleAnswer(RequestNumber attempt, const OwnerAnswer& result)
 {
-    const auto found = requests_.find(number);
-    if (found == requests_.end())
+    const auto current = requestOfAttempt(attempt);
+    if (!current)
         return;
-    auto& request = found->second;
+    const auto number = *current;
+    auto& request = requests_.at(number);
     switch (result.kind) {
     case OwnerAnswer::Kind::Completed:
         answer(number, { .kind = JobAnswer::Kind::Completed });
@@ -402,10 +430,8 @@
 
 void JobClient::answer(RequestNumber number, const JobAnswer& result)
 {
-    const auto found = requests_.find(number);
-    auto callback = std::move(found->second.callback);
-    requests_.erase(found);
-    callback(result);
+    const auto request = take(number);
+    request.callback(result);
 }
 
 void JobClient::answerInDoubt(RequestNumber number)
--- a/libs/node/src/clients/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -55,7 +55,7 @@
     RequestNumber cancelJob(const JobId&, TimePoint responseDeadline, JobAnswerCallback);
     /// Cancels a request whose client has disconnected. The callback is not called.
     void cancel(RequestNumber);
-    void handleAnswer(RequestNumber, const OwnerAnswer&);
+    void handleAnswer(RequestNumber attempt, const OwnerAnswer&);
     /// The request's shard was handed over; the new owner will answer the request once it is confirmed.
     void handleMoved(RequestNumber, const Shards::ShardName&, const ShardLocation& owner);
     /// True if the request has neither been answered nor cancelled.
@@ -95,6 +95,8 @@
         std::weak_ptr<PeerLink> link {};
         unsigned attempts { 0 };
         bool redirected { false };
+        // Number under which the request was last sent to an owner.
+        RequestNumber attempt {};
         // An earlier owner was lost and may have acted on the request.
         bool inDoubt { false };
         // Start of the wait for a reachable owner; empty if the request is not waiting.
@@ -119,6 +121,13 @@
     void noteReachability(TimePoint now);
     std::optional<Target> chooseTarget(const Request&) const;
     RequestNumber add(Request);
+    /// Number for the next attempt of a request. Each attempt of a request for a home shard has its own, because an
+    /// owner may answer one after the request has been sent again.
+    RequestNumber beginAttempt(RequestNumber, Request&);
+    /// The request whose current attempt has this number; empty if the attempt is outdated.
+    std::optional<RequestNumber> requestOfAttempt(RequestNumber attempt) const;
+    /// Removes a request. It must exist.
+    Request take(RequestNumber);
     static const JobId& jobIdOf(const Request&);
     static bool hasHomeShard(const Request&);
     void dispatch(RequestNumber);
@@ -140,6 +149,8 @@
     ShardDirectory& directory_;
     ShardOwnership& ownership_;
     std::unordered_map<RequestNumber, Request> requests_;
+    // Requests by the number of their current attempt, where it is not the request's own.
+    std::unordered_map<RequestNumber, RequestNumber> attempts_;
     // Since when shards have no reachable owner.
     std::map<Shards::ShardName, TimePoint> unreachableSince_;
     std::uint64_t lastRequest_ { 0 };
