Do not let tasks that never end keep an upstream on probation or reserved

Cause: an upstream on probation gets a task only when nothing runs there, and a reservation waited for the assumed end of a task that has none. Runs of long-running jobs count for neither now.

--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -262,6 +262,8 @@
     Duration remainingCriticalPath(const Job&) const;
     Duration criticalPath(const JobSpec&) const;
     bool isUsable(const Upstream&, TimePoint now) const;
+    /// True if the upstream has a run that is not one of a long-running job.
+    static bool hasRunThatEnds(const Upstream&);
     bool canHold(const Upstream&, const JobSpec&, const StepSpec&) const;
     void requestPermits(Job&, std::uint32_t step, TimePoint now);
     Upstream* chooseUpstream(const Job&, std::uint32_t step, const Task&, const std::string& rack,
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -37,6 +37,8 @@
     // Kind of the task, if it is tracked, and the kinds that have run beside it.
     std::optional<TaskKind> kind {};
     TaskKinds beside { 0 };
+    // Ends only when its job is cancelled.
+    bool longRunning { false };
     // Started by an earlier owner; the capacity that it uses is unknown.
     bool startedByEarlierOwner { false };
     // Adopted without its start time, so its run time is not passed to the run time model.
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -58,6 +58,12 @@
     }
 };
 
+bool ShardEngine::hasRunThatEnds(const Upstream& upstream)
+{
+    return std::any_of(
+        upstream.runs.begin(), upstream.runs.end(), [](const auto& entry) { return !entry.second.longRunning; });
+}
+
 bool ShardEngine::isUsable(const Upstream& upstream, TimePoint now) const
 {
     return upstream.registered && upstream.hasCurrentRegistration() && upstream.confirmed
@@ -116,7 +122,7 @@
             continue;
         if (job.spec->advice && job.steps[stepIndex].permits.ticketFor(upstream.info, now) == nullptr)
             continue;
-        if (upstream.onProbation && !upstream.runs.empty())
+        if (upstream.onProbation && hasRunThatEnds(upstream))
             continue;
         if (step.maxPerUpstream > 0) {
             const auto runsOfStep = std::count_if(upstream.runs.begin(), upstream.runs.end(),
@@ -197,6 +203,7 @@
             .origin = job.origin,
             .need = spec.need,
             .kind = interference_.kindOf(*job.spec, spec, now),
+            .longRunning = job.spec->longRunning,
             .startedCold = upstream.isCold(now),
             .state = RunState::StartSent,
             .startSentAt = now,
@@ -365,6 +372,9 @@
                 std::sort(runs.begin(), runs.end(),
                     [](const Run* a, const Run* b) { return a->expectedEnd < b->expectedEnd; });
                 for (const auto* run : runs) {
+                    // Its capacity may never become free, and the reservation would keep the rest from all others.
+                    if (run->longRunning)
+                        continue;
                     freeCapacity += run->need;
                     if (!step.need.fitsIn(freeCapacity))
                         continue;
