--- a/libs/http/include/balsammill/http/HttpClient.h
+++ b/libs/http/include/balsammill/http/HttpClient.h
@@ -24,7 +24,9 @@
 
     /// Sends a request. The callback runs exactly once, at the deadline at the latest, and never from within this call.
     /// If the client is destroyed first, the callback is not run.
-    void send(const HttpRequest&, TimePoint deadline, HttpCallback);
+    /// on: the result of nextConnection(); the request is then sent on no other connection. If it has been closed
+    /// since, the request has no answer.
+    void send(const HttpRequest&, TimePoint deadline, HttpCallback, HttpConnectionId on = {});
     /// The idle connection that the next request will use; 0 if it will open a new one. All requests on one connection
     /// are answered by the same server process.
     HttpConnectionId nextConnection();
--- a/libs/http/src/ConnectionTable.cpp
+++ b/libs/http/src/ConnectionTable.cpp
@@ -1,5 +1,7 @@
 #include "ConnectionTable.h"
 
+#include <array>
+
 namespace Balsammill::Detail {
 
 namespace {
@@ -42,6 +44,8 @@
         return;
     orderOf(found->second.state).erase(found->second.position);
     bytes_ -= found->second.bytes;
+    if (found->second.state == State::Busy)
+        busyBytes_ -= found->second.bytes;
     const auto client = connectionsByAddress_.find(found->second.address);
     if (--client->second == 0)
         connectionsByAddress_.erase(client);
@@ -56,7 +60,11 @@
     auto& entry = found->second;
     auto& target = orderOf(state);
     target.splice(target.end(), orderOf(entry.state), entry.position);
+    if (entry.state == State::Busy)
+        busyBytes_ -= entry.bytes;
     entry.state = state;
+    if (entry.state == State::Busy)
+        busyBytes_ += entry.bytes;
 }
 
 void ConnectionTable::setBytes(HttpConnectionId id, std::size_t bytes)
@@ -65,6 +73,8 @@
     if (found == entries_.end())
         return;
     bytes_ = bytes_ - found->second.bytes + bytes;
+    if (found->second.state == State::Busy)
+        busyBytes_ = busyBytes_ - found->second.bytes + bytes;
     found->second.bytes = bytes;
 }
 
@@ -73,13 +83,11 @@
     return entries_.at(id).address == largestClient_;
 }
 
-std::optional<HttpConnectionId> ConnectionTable::oldest(const Order& order) const
+std::optional<HttpConnectionId> ConnectionTable::ofLargestClient(const Order& order) const
 {
-    if (order.empty())
-        return std::nullopt;
     const auto largest = connectionsByAddress_.find(largestClient_);
     if (largest == connectionsByAddress_.end() || largest->second * 2 <= entries_.size())
-        return order.front();
+        return std::nullopt;
     int searched = 0;
     for (const auto& id : order) {
         if (isFromLargestClient(id))
@@ -87,26 +95,40 @@
         if (++searched == maxSearched)
             break;
     }
-    return order.front();
+    return std::nullopt;
 }
 
-std::optional<HttpConnectionId> ConnectionTable::excessConnection() const
+std::optional<HttpConnectionId> ConnectionTable::excessConnection(std::size_t more) const
 {
-    if (entries_.size() <= budget_.maxConnections)
+    if (entries_.size() + more <= budget_.maxConnections)
         return std::nullopt;
     // A client that has begun a request and does not end it uses more than one that waits.
-    if (const auto receiving = oldest(receiving_))
-        return receiving;
-    if (const auto idle = oldest(idle_))
-        return idle;
-    return oldest(sending_);
+    const std::array<const Order*, 3> orders { &receiving_, &idle_, &sending_ };
+    for (const auto* order : orders) {
+        if (const auto id = ofLargestClient(*order))
+            return id;
+    }
+    for (const auto* order : orders) {
+        if (!order->empty())
+            return order->front();
+    }
+    return std::nullopt;
 }
 
 std::optional<HttpConnectionId> ConnectionTable::excessBytes() const
 {
-    if (bytes_ <= budget_.maxBufferedBytes)
+    if (bytes_ - busyBytes_ <= budget_.maxBufferedBytes)
         return std::nullopt;
-    return oldest(receiving_);
+    const std::array<const Order*, 2> orders { &receiving_, &sending_ };
+    for (const auto* order : orders) {
+        if (const auto id = ofLargestClient(*order))
+            return id;
+    }
+    for (const auto* order : orders) {
+        if (!order->empty())
+            return order->front();
+    }
+    return std::nullopt;
 }
 
 } // namespace Balsammill::Detail
--- a/libs/http/src/ConnectionTable.h
+++ b/libs/http/src/ConnectionTable.h
@@ -33,9 +33,14 @@
     void setBytes(HttpConnectionId, std::size_t bytes);
     std::size_t bytes() const { return bytes_; }
     std::size_t size() const { return entries_.size(); }
-    /// The connection to close next because there are too many of them; empty if there are not.
-    std::optional<HttpConnectionId> excessConnection() const;
-    /// The connection to close next because too many bytes are buffered.
+    /// Bytes of the connections whose request is being processed.
+    std::size_t busyBytes() const { return busyBytes_; }
+    std::size_t maxBytes() const { return budget_.maxBufferedBytes; }
+    /// The connection to close next because there would be too many of them with this many more; empty if there are
+    /// not, or if all are busy.
+    std::optional<HttpConnectionId> excessConnection(std::size_t more) const;
+    /// The connection to close next because too many bytes are buffered besides those of busy connections, which may
+    /// use the budget once more.
     std::optional<HttpConnectionId> excessBytes() const;
     /// False if clients that have sent requests in advance have to wait.
     bool mayReadAhead() const { return bytes_ <= budget_.maxBufferedBytes / 2; }
@@ -51,7 +56,8 @@
 
     Order& orderOf(State);
     bool isFromLargestClient(HttpConnectionId) const;
-    std::optional<HttpConnectionId> oldest(const Order&) const;
+    /// A connection of the client address that holds more than half of all; empty if there is none.
+    std::optional<HttpConnectionId> ofLargestClient(const Order&) const;
 
     HttpServerBudget budget_;
     std::unordered_map<HttpConnectionId, Entry> entries_;
@@ -64,6 +70,7 @@
     // Address with the most connections when one was last added.
     std::string largestClient_;
     std::size_t bytes_ { 0 };
+    std::size_t busyBytes_ { 0 };
 };
 
 } // namespace Balsammill::Detail
--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -232,10 +232,11 @@
     closeIdle();
 }
 
-void HttpClient::send(const HttpRequest& request, TimePoint deadline, HttpCallback callback)
+void HttpClient::send(const HttpRequest& request, TimePoint deadline, HttpCallback callback, HttpConnectionId on)
 {
     std::shared_ptr<Connection> connection;
-    if (nextConnection() != HttpConnectionId()) {
+    const bool reserved = on != HttpConnectionId() && !idle_.empty() && idle_.back()->id_ == on;
+    if (reserved || nextConnection() != HttpConnectionId()) {
         connection = std::move(idle_.back());
         idle_.pop_back();
     } else {
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -23,6 +23,10 @@
 constexpr std::size_t maxPipelinedBytes = 64ULL * 1024;
 // Buffers that are larger than this are released when they are empty.
 constexpr std::size_t maxRetainedBytes = 4ULL * 1024;
+// Memory for the fields of a parsed head relative to its bytes: a field of four bytes takes some 80.
+constexpr std::size_t parsedHeadFactor = 20;
+// Retry-After of a request that has to wait for memory.
+constexpr auto budgetRetryAfterSeconds = "1";
 // Delay before connections are accepted again after an error, such as a lack of descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -65,6 +69,9 @@
 
     /// Closes connections until the budget is kept.
     void enforceBudget();
+    /// Closes a connection if a further one would exceed the budget.
+    void makeRoom();
+    void closeFor(HttpConnectionId, HttpBudgetLimit);
 };
 
 class HttpServer::Session : public HttpExchange, public std::enable_shared_from_this<HttpServer::Session> {
@@ -151,7 +158,8 @@
             std::string().swap(unparsedBytes_);
         if (responseBytes_.empty() && responseBytes_.capacity() > maxRetainedBytes)
             std::string().swap(responseBytes_);
-        const std::size_t received = parser_ && !handling_ ? parser_->get().body().size() : 0;
+        const std::size_t received
+            = parser_ && !handling_ ? parser_->get().body().size() + headBytes_ * parsedHeadFactor : 0;
         shared_->connections.setBytes(
             id_, unparsedBytes_.capacity() + responseBytes_.capacity() + received + requestBytes_);
     }
@@ -162,6 +170,7 @@
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(shared_->limits.maxHeaderBytes));
         parser_->body_limit(shared_->limits.maxBodyBytes);
+        headBytes_ = 0;
         requestStarted_ = false;
         armTimer(shared_->limits.idleTimeout);
     }
@@ -214,8 +223,14 @@
         }
         error_code error;
         do {
+            const bool inHead = !parser_->is_header_done();
             const auto used = parser_->put(asio::buffer(unparsedBytes_), error);
             unparsedBytes_.erase(0, used);
+            if (inHead)
+                headBytes_ += used;
+            // The parser's own limit is for the bytes of one call, and it keeps what it has parsed of a head.
+            if ((!error || error == http::error::need_more) && headBytes_ > shared_->limits.maxHeaderBytes)
+                error = http::error::header_limit;
             if (used == 0)
                 break;
         } while (!error && !parser_->is_done() && !unparsedBytes_.empty());
@@ -242,6 +257,23 @@
         socket_.write_some(asio::buffer(interim.data(), interim.size()), ignored);
     }
 
+    void refuse()
+    {
+        if (shared_->exceeded)
+            shared_->exceeded(HttpBudgetLimit::BufferedBytes);
+        respondAndClose({ .status = 503, .fields = { { "Retry-After", budgetRetryAfterSeconds } }, .body = {} });
+    }
+
+    void respondAndClose(const HttpResponse& response)
+    {
+        closeAfterWrite_ = true;
+        shared_->connections.setState(id_, Detail::ConnectionTable::State::Sending);
+        responseBytes_ = serialize(response, true);
+        bytesWritten_ = 0;
+        unparsedBytes_.clear();
+        write();
+    }
+
     void reject(error_code error)
     {
         unsigned status = 400;
@@ -249,16 +281,17 @@
             status = 431;
         else if (error == http::error::body_limit)
             status = 413;
-        closeAfterWrite_ = true;
-        shared_->connections.setState(id_, Detail::ConnectionTable::State::Sending);
-        responseBytes_ = serialize({ .status = status, .fields = {}, .body = {} }, true);
-        bytesWritten_ = 0;
-        unparsedBytes_.clear();
-        write();
+        respondAndClose({ .status = status, .fields = {}, .body = {} });
     }
 
     void handle()
     {
+        account();
+        // The requests in progress alone exceed the budget, so that closing incomplete ones would not help.
+        if (shared_->connections.busyBytes() > shared_->connections.maxBytes()) {
+            refuse();
+            return;
+        }
         auto message = parser_->release();
         HttpRequest request;
         request.method = std::string(message.method_string());
@@ -308,6 +341,7 @@
         }
         beginRequest();
         parse();
+        account();
         read();
     }
 
@@ -317,6 +351,8 @@
     HttpConnectionId id_;
     // Size of the request in progress.
     std::size_t requestBytes_ { 0 };
+    // Bytes of the current request's head that have been parsed.
+    std::size_t headBytes_ { 0 };
     std::optional<http::request_parser<http::string_body>> parser_;
     std::array<char, readBlockBytes> readBuffer_;
     std::string unparsedBytes_;
@@ -333,16 +369,24 @@
 
 void HttpServer::Shared::enforceBudget()
 {
-    while (const auto id = connections.excessBytes()) {
-        sessionsById.at(*id)->close();
-        if (exceeded)
-            exceeded(HttpBudgetLimit::BufferedBytes);
-    }
-    while (const auto id = connections.excessConnection()) {
-        sessionsById.at(*id)->close();
-        if (exceeded)
-            exceeded(HttpBudgetLimit::Connections);
-    }
+    while (const auto id = connections.excessBytes())
+        closeFor(*id, HttpBudgetLimit::BufferedBytes);
+    while (const auto id = connections.excessConnection(0))
+        closeFor(*id, HttpBudgetLimit::Connections);
+}
+
+void HttpServer::Shared::makeRoom()
+{
+    // The new connection must not be the one that is closed for it.
+    if (const auto id = connections.excessConnection(1))
+        closeFor(*id, HttpBudgetLimit::Connections);
+}
+
+void HttpServer::Shared::closeFor(HttpConnectionId id, HttpBudgetLimit limit)
+{
+    sessionsById.at(id)->close();
+    if (exceeded)
+        exceeded(limit);
 }
 
 HttpServer::HttpServer(asio::io_context& context, const NetworkAddress& address, HttpHandler handler)
@@ -381,6 +425,7 @@
         }
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        shared->makeRoom();
         std::make_shared<Session>(std::move(socket), shared)->start();
         shared->enforceBudget();
         accept();
--- a/libs/http/tests/HttpTests.cpp
+++ b/libs/http/tests/HttpTests.cpp
@@ -176,3 +176,33 @@
         loop.run_for(5ms);
     }
 }
+
+// Guards against a head without end whose lines are parsed and kept as they arrive: the parser compares its limit only
+// with the bytes of one call.
+TEST_CASE("The limit of a request head holds for all of its segments together")
+{
+    asio::io_context loop;
+    HttpServer server(
+        loop, NetworkAddress("127.0.0.1:0"), [](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+            exchange->respond({ .status = 200, .fields = {}, .body = {} });
+        });
+    server.setLimits({ .maxHeaderBytes = 1024, .maxBodyBytes = 100, .requestTimeout = 60s, .idleTimeout = 60s });
+    asio::ip::tcp::socket socket(loop);
+    socket.connect(parseEndpoint(server.localAddress()));
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\na")));
+    std::string segment;
+    for (int i = 0; i < 100; ++i)
+        segment += ":\r\na";
+    // The answer may be lost, because the server closes the connection with unread bytes.
+    bool ended = false;
+    std::array<char, 4096> block {};
+    socket.async_read_some(asio::buffer(block), [&](boost::system::error_code, std::size_t) { ended = true; });
+    for (int i = 0; i < 10 && !ended; ++i) {
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(segment), ignored);
+        loop.restart();
+        loop.run_for(20ms);
+    }
+    CHECK(ended);
+    CHECK_EQ(server.openConnections(), 0);
+}
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -504,6 +504,8 @@
         const auto now = monotonicNow();
         if (const auto gap = context.stall.noteProgress(now); gap > Duration::zero())
             log.event("process.stalled", { { "ms", static_cast<std::int64_t>(toMs(gap)) } });
+        if (operatorRows.loaded())
+            context.evacuations.setKnown();
         peers.advance(now);
         ownership.advance(now);
         jobs.advance(now);
@@ -549,6 +551,7 @@
             context.settings.stopGrace = fresh.stopGrace;
             context.settings.shutdownGrace = fresh.shutdownGrace;
             context.settings.clientResendDelay = fresh.clientResendDelay;
+            context.settings.evacuationBound = fresh.evacuationBound;
             log.event("settings.reloaded", {});
             logExceededBudgets();
         } catch (const std::exception& error) {
--- a/libs/node/src/LoopLagMonitor.cpp
+++ b/libs/node/src/LoopLagMonitor.cpp
@@ -12,6 +12,7 @@
 // Ticks in a second.
 constexpr auto window = static_cast<unsigned>(std::chrono::seconds(1) / tickInterval);
 constexpr std::uint32_t windowMask = (1U << window) - 1;
+constexpr Duration::rep maxTicksAtOnce = window / 4;
 // A tick is late if the next one was due already.
 constexpr Duration lateAfter = tickInterval;
 
@@ -20,8 +21,11 @@
 void LoopLagMonitor::noteTick(TimePoint due, TimePoint now)
 {
     lastLag_ = std::max(now - due, Duration::zero());
-    late_ = ((late_ << 1U) | (lastLag_ > lateAfter ? 1U : 0U)) & windowMask;
-    recorded_ = std::min(recorded_ + 1, window);
+    // A late tick stands for those that were due meanwhile, but a single pause is no overload, however long it is.
+    const auto ticks = static_cast<unsigned>(std::clamp<Duration::rep>(lastLag_ / tickInterval, 1, maxTicksAtOnce));
+    const std::uint32_t bits = lastLag_ > lateAfter ? (1U << ticks) - 1 : 0U;
+    late_ = ((late_ << ticks) | bits) & windowMask;
+    recorded_ = std::min(recorded_ + ticks, window);
 }
 
 bool LoopLagMonitor::isOverloaded() const
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -118,7 +118,8 @@
             .freeMilliCores = status == nullptr ? 0 : status->freeMilliCores });
         targets.push_back(std::move(*target));
     }
-    const auto chosen = Shards::chooseShard(candidates, stableHash(jobIdOf(request).value));
+    const auto chosen = Shards::chooseShard(
+        candidates, context_.evacuations.contains(context_.settings.domain), stableHash(jobIdOf(request).value));
     return chosen ? std::optional(targets[*chosen]) : std::nullopt;
 }
 
@@ -212,6 +213,9 @@
     request.waitingForOwnerSince.reset();
     request.shard = target.shard;
     request.link = target.link;
+    // Handovers of the shard that the request was sent to before do not concern this one.
+    request.ownerEpoch = Epoch();
+    request.newOwnerAddress = NetworkAddress();
     const auto attempt = beginAttempt(number, request);
     if (const auto* submission = std::get_if<Submission>(&request.operation))
         sendSubmission(attempt, request, target, *submission);
--- a/libs/node/src/ownership/EvacuationTable.h
+++ b/libs/node/src/ownership/EvacuationTable.h
@@ -19,9 +19,13 @@
     std::optional<TimePoint> noStartsFrom(const FailureDomain&) const;
     bool contains(const FailureDomain& domain) const { return domains_.contains(domain); }
     std::size_t size() const { return domains_.size(); }
+    /// False until the operator's requests have been read for the first time.
+    bool isKnown() const { return known_; }
+    void setKnown() { known_ = true; }
 
 private:
     std::map<FailureDomain, TimePoint> domains_;
+    bool known_ { false };
 };
 
 } // namespace Balsammill
--- a/libs/node/src/ownership/ShardOffers.cpp
+++ b/libs/node/src/ownership/ShardOffers.cpp
@@ -67,6 +67,7 @@
     state.nextRequestAt = now + moveCheckInterval;
     if (!settled || now - records_.currentAt() > maxStoreViewAge)
         return;
+    const auto* record = directory_.find(name);
     const auto move = Shards::chooseMove({ .owner = { .vm = context_.settings.vm,
                                                .capacity = capacityOf(context_.settings),
                                                .ownedShards = static_cast<unsigned>(servers_.size()) },
@@ -74,6 +75,7 @@
         .ownedSince = server.startedAt(),
         .lastOfferAt = lastMoveOfferAt_,
         .overloaded = context_.loopLag.isOverloaded(),
+        .formerOwner = record == nullptr ? VmName() : record->handedOverBy,
         .now = now });
     if (!move)
         return;
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -116,7 +116,9 @@
             renew(name, now, true);
         else if (now >= state.renewAt || state.recordDurableJobs)
             renew(name, now, false);
-        offerIfDue(name, *server, now);
+        // A renewal may have ended the ownership, and while it is being written a claim would fail.
+        if (const auto* current = serverOf(name); current != nullptr && !state.writeInFlight)
+            offerIfDue(name, *current, now);
     }
     std::erase_if(outgoingHandOvers_, [&](const OutgoingHandOver& each) {
         if (sendHandOver(each.content, each.successor))
@@ -177,6 +179,7 @@
 {
     auto server = std::move(servers_.at(name));
     servers_.erase(name);
+    recordStates_[name].handedOverEpoch = server->epoch();
     auto content = server->handOver();
     context_.log.event("shard.handed_over",
         { { "shard", name.value }, { "epoch", content.epoch.value }, { "to", successor.vm.value },
@@ -401,7 +404,7 @@
     // The record shows that a write succeeded although its answer has not arrived yet or was lost.
     if (serving)
         servers_.at(name)->confirmOwnership(earliestWriteOf(name, *owner));
-    else if (isOwnRecord(*owner) && !owner->released && !leaving_)
+    else if (isOwnRecord(*owner) && !owner->released && !leaving_ && owner->epoch > recordStates_[name].handedOverEpoch)
         startServer(name, *owner, earliestWriteOf(name, *owner));
 }
 
@@ -429,6 +432,7 @@
     context_.log.event("shard.gained", { { "shard", name.value }, { "epoch", record.epoch.value } });
     recordStates_[name].renewAt = monotonicNow() + renewInterval;
     recordStates_[name].recordDurableJobs = false;
+    recordStates_[name].requestCount = 0;
     servers_[name] = std::make_unique<ShardServer>(context_, store_,
         ShardServer::Options { .name = name,
             .epoch = record.epoch,
@@ -513,8 +517,10 @@
     leaving_ = true;
     releaseAt_ = releaseAt;
     const auto now = monotonicNow();
-    for (auto& [name, server] : servers_)
+    for (auto& [name, server] : servers_) {
+        recordStates_[name].requestCount = 0;
         requestTakeOver(name, now);
+    }
 }
 
 Shards::ShardName ShardOwnership::shardOf(const Shards::UpstreamInfo& info) const
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -72,6 +72,8 @@
         /// The entry that was last asked to take the shard over, and the epoch of this owner at that time.
         VmName offeredTo {};
         Epoch offeredEpoch {};
+        /// Epoch of the last ownership that this process handed over. An older view of the record may still name it.
+        Epoch handedOverEpoch {};
         /// The next write of the record has to mark the shard as having durable jobs.
         bool recordDurableJobs { false };
     };
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// Delay before connections are accepted again after an error, such as a lack of descriptors.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
+
 // The other end of an inbound connection gives up its submissions after peerTimeout without a message from here, which
 // counts from the last message that it has confirmed.
 bool isExpired(const PeerLink& link, TimePoint now)
@@ -34,6 +37,7 @@
     , options_(options)
     , handlers_(std::move(handlers))
     , acceptor_(context, parseEndpoint(options.listen))
+    , acceptTimer_(context)
 {
     accept();
 }
@@ -57,14 +61,20 @@
     acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
-        if (!error) {
-            const auto link = std::make_shared<PeerLink>(
-                nextLinkId(), std::move(socket), true,
-                [this](PeerLink& from, const auto& message) { handle(from, message); },
-                [this](PeerLink& closedLink, CloseReason reason) { handleClosed(closedLink, reason); });
-            inbound_.insert(link);
-            link->start(nullptr, [this](PeerLink& opened) { sendHello(opened); });
+        if (error) {
+            acceptTimer_.expires_after(acceptRetryDelay);
+            acceptTimer_.async_wait([this](error_code timerError) {
+                if (!timerError)
+                    accept();
+            });
+            return;
         }
+        const auto link = std::make_shared<PeerLink>(
+            nextLinkId(), std::move(socket), true,
+            [this](PeerLink& from, const auto& message) { handle(from, message); },
+            [this](PeerLink& closedLink, CloseReason reason) { handleClosed(closedLink, reason); });
+        inbound_.insert(link);
+        link->start(nullptr, [this](PeerLink& opened) { sendHello(opened); });
         accept();
     });
 }
--- a/libs/node/src/peers/PeerNetwork.h
+++ b/libs/node/src/peers/PeerNetwork.h
@@ -2,6 +2,7 @@
 
 #include "PeerLink.h"
 
+#include "balsammill/http/Timer.h"
 #include "balsammill/shards/OwnershipPolicy.h"
 
 #include <functional>
@@ -75,6 +76,7 @@
     Options options_;
     Handlers handlers_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    Timer acceptTimer_;
     std::map<NetworkAddress, Outbound> outbound_;
     std::set<std::shared_ptr<PeerLink>> inbound_;
     // Bytes sent on connections that are closed.
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -63,6 +63,7 @@
 
 void ShardServer::updateEvacuation()
 {
+    engine_.holdStarts(!context_.evacuations.isKnown());
     engine_.setEvacuation(context_.evacuations.noStartsFrom(ShardDirectory::domainOf(name_)));
 }
 
@@ -316,7 +317,7 @@
     }
     if (const auto* refuse = std::get_if<Shards::RefuseJob>(&decision)) {
         context_.metrics.add("balsammill_refused_total", queueLabel);
-        const auto load = engine_.load();
+        const auto load = engine_.load(now);
         context_.log.event("job.refused",
             { { "id", spec.id.value }, { "shard", name_.value }, { "queue", spec.queue.value },
                 { "forecast_ms", forecastMs(forecast, now) },
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -83,11 +83,14 @@
     return Answer::Usable;
 }
 
-std::uint64_t UpstreamSession::endToAcknowledge(HttpClient& client)
+void UpstreamSession::acknowledgeEnds(SentRequest& sent, HttpClient& client)
 {
     // Ends are numbered anew by each incarnation, and a restart keeps the id and the address.
     const auto connection = client.nextConnection();
-    return reporters_.contains({ &client, connection }) ? engine_.lastEndToAcknowledge(id_) : 0;
+    if (!reporters_.contains({ &client, connection }))
+        return;
+    sent.acknowledgedEnd = engine_.lastEndToAcknowledge(id_);
+    sent.connection = connection;
 }
 
 void UpstreamSession::noteReporter(const HttpClient* client, HttpConnectionId connection, std::int64_t startedUnixMs)
@@ -127,14 +130,17 @@
                   return false;
               copies->grant = copies->grant || sent.lease;
               copies->last = copy;
-              self->commandClient_->send(*request, deadline, [self, copies, sent, done](HttpResult result) {
-                  if (self->closed_)
-                      return;
-                  if (result.response)
-                      self->answerTimes_.record(monotonicNow() - sent.sentAt);
-                  copies->answered = sent;
-                  done(std::move(result));
-              });
+              self->commandClient_->send(
+                  *request, deadline,
+                  [self, copies, sent, done](HttpResult result) {
+                      if (self->closed_)
+                          return;
+                      if (result.response)
+                          self->answerTimes_.record(monotonicNow() - sent.sentAt);
+                      copies->answered = sent;
+                      done(std::move(result));
+                  },
+                  sent.connection);
               return true;
           };
     RepeatedRequest::send(context_.loop,
@@ -292,7 +298,7 @@
 std::optional<HttpRequest> UpstreamSession::encodeCheck(SentRequest& sent)
 {
     sent.afterExpiry = leases_.hasUnreportedExpiry(sent.sentAt);
-    sent.acknowledgedEnd = endToAcknowledge(*commandClient_);
+    acknowledgeEnds(sent, *commandClient_);
     // An upstream that does not answer gets no leases, so that its runs are over within a known time. At most one grant
     // is without an answer at a time: copies, which have raised tokens, only keep it from being carried out late.
     const bool mayGrant = confirmed_ && !failing_ && !sent.afterExpiry && sent.copy == 0 && !grantInDoubt_
@@ -331,13 +337,12 @@
     pollOutstanding_ = true;
     pollSentAt_ = now;
     const auto waitFor = wait ? reportPollTime : Duration::zero();
-    const SentRequest sent { .token = tokens_.current(),
-        .sentAt = now,
-        .acknowledgedEnd = endToAcknowledge(*pollClient_),
-        .client = pollClient_.get() };
+    SentRequest sent { .token = tokens_.current(), .sentAt = now, .client = pollClient_.get() };
+    acknowledgeEnds(sent, *pollClient_);
     const auto request = Platform::encodeReportRequest(id_, std::nullopt, sent.token, sent.acknowledgedEnd, waitFor);
     context_.metrics.add("balsammill_upstream_reports_total");
-    pollClient_->send(request, now + waitFor + answerTimeout,
+    pollClient_->send(
+        request, now + waitFor + answerTimeout,
         [self = shared_from_this(), sent, poll = ++lastPoll_](const HttpResult& result) {
             if (self->closed_)
                 return;
@@ -354,7 +359,8 @@
                     self->checkWanted_ = true;
                 self->advance(answeredAt);
             }
-        });
+        },
+        sent.connection);
 }
 
 void UpstreamSession::logExpiry(TimePoint now, std::size_t stillRunning)
@@ -414,6 +420,10 @@
         return;
     }
     acknowledgedEnd_ = sent.acknowledgedEnd;
+    acknowledgementWithheld_ = sent.acknowledgedEnd == 0 && engine_.lastEndToAcknowledge(id_) > 0;
+    // Keeps checks apart if the upstream closes each connection, so that no end can be acknowledged.
+    if (acknowledgementWithheld_ && idleSince_ != TimePoint {})
+        idleSince_ = now;
     if (sent.lease)
         leases_.confirm(*sent.lease);
     try {
@@ -493,7 +503,7 @@
         return false;
     // The upstream answers at once while it lists an unacknowledged finished run, so polls are spaced out until all can
     // be acknowledged.
-    if (!engine_.hasUnrecordedEnds(id_) || now - reportedAt_ >= unrecordedEndsInterval)
+    if ((!engine_.hasUnrecordedEnds(id_) && !acknowledgementWithheld_) || now - reportedAt_ >= unrecordedEndsInterval)
         return true;
     if (!std::exchange(pollTimerArmed_, true))
         runAfter(unrecordedEndsInterval, [this] {
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -56,8 +56,9 @@
         bool repeated { false };
         std::optional<UpstreamLeases::Grant> lease {};
         std::uint64_t acknowledgedEnd { 0 };
-        // The client that sends it.
+        // The client that sends it, and the connection that it has to use; 0 if any.
         const HttpClient* client { nullptr };
+        HttpConnectionId connection {};
         // The lease had expired when the report was requested, and the engine does not know it yet.
         bool afterExpiry { false };
     };
@@ -114,9 +115,9 @@
     /// False if the run is not wanted any more, or could outlive its client's request.
     bool maySendAgain(const Shards::StartTask&, TimePoint now) const;
     UpstreamLeases::Grant grantLease(TimePoint now, Duration length);
-    /// The number up to which the next request of this client may acknowledge ends; 0 if it may reach another
-    /// incarnation than the one that listed them.
-    std::uint64_t endToAcknowledge(HttpClient&);
+    /// Acknowledges the handled ends with the next request of this client, unless it may reach another incarnation than
+    /// the one that listed them.
+    void acknowledgeEnds(SentRequest&, HttpClient&);
     void noteReporter(const HttpClient*, HttpConnectionId, std::int64_t startedUnixMs);
 
     NodeContext& context_;
@@ -145,6 +146,8 @@
     std::uint64_t acknowledgedEnd_ { 0 };
     std::uint64_t lastPoll_ { 0 };
     TimePoint pollSentAt_ {};
+    // The last answered report request acknowledged nothing although ends were due.
+    bool acknowledgementWithheld_ { false };
     bool pollOutstanding_ { false };
     bool pollTimerArmed_ { false };
     bool checkWanted_ { false };
--- a/libs/node/tests/LoopLagMonitorTests.cpp
+++ b/libs/node/tests/LoopLagMonitorTests.cpp
@@ -20,12 +20,12 @@
 
 } // namespace
 
-// Guards against an owner that does not notice that its VM is too slow, and against one that gives its shards away
-// after a single pause.
+// Guards against an owner that does not notice that its VM is too slow, or only after many seconds, and against one
+// that gives its shards away after a single pause.
 TEST_CASE("A process is overloaded while half of the ticks of the last second are late")
 {
     LoopLagMonitor monitor;
-    record(monitor, ticksPerSecond - 1, 3 * tickInterval);
+    record(monitor, 6, 3 * tickInterval);
     CHECK_FALSE(monitor.isOverloaded());
     record(monitor, 1, 3 * tickInterval);
     CHECK(monitor.isOverloaded());
@@ -35,4 +35,6 @@
     record(monitor, 1, 40 * tickInterval);
     CHECK_FALSE(monitor.isOverloaded());
     CHECK_EQ(monitor.lastLag(), 40 * tickInterval);
+    record(monitor, 1, 20 * tickInterval);
+    CHECK(monitor.isOverloaded());
 }
--- a/libs/shards/include/balsammill/shards/InterferenceModel.h
+++ b/libs/shards/include/balsammill/shards/InterferenceModel.h
@@ -46,6 +46,8 @@
     /// Records a completed run. logRatio: natural logarithm of its run time relative to the prediction. beside: the
     /// kinds of the other tasks that ran on the upstream meanwhile.
     void record(TaskKind, const UpstreamId&, double logRatio, TaskKinds beside, TimePoint now);
+    /// Tasks of these kinds run at present, so that the kinds are kept.
+    void noteInUse(TaskKinds, TimePoint now);
     void forget(const UpstreamId& upstream) { upstreams_.erase(upstream); }
     /// True if any kind disturbs another one; otherwise cost() is always zero.
     bool any() const { return activePairs_ > 0; }
--- a/libs/shards/include/balsammill/shards/OwnerSelection.h
+++ b/libs/shards/include/balsammill/shards/OwnerSelection.h
@@ -55,6 +55,8 @@
     TimePoint lastOfferAt {};
     /// This process cannot keep up with its work.
     bool overloaded { false };
+    /// The entry that handed the shard over to this one; empty if there was none.
+    VmName formerOwner {};
     TimePoint now {};
 };
 
@@ -63,9 +65,10 @@
     OfferReason reason { OfferReason::LargerVm };
 };
 
-/// Decides whether an owner offers a shard to another entry; empty if not. Load: a shard on a small VM while larger
-/// ones are idle, as after the larger ones were restarted one after the other. Shards do not go to and fro: the other
-/// entry must be at least twice as fit once it owns the shard, or as fit if this one is overloaded.
+/// Decides whether an owner offers a shard to another entry; empty if not. A small VM owns a shard while larger ones
+/// are idle after the larger ones were restarted one after the other, for instance. Shards do not go to and fro: the
+/// other entry must be at least twice as fit once it owns the shard; if this one is overloaded, as fit, and not the one
+/// that has handed the shard over.
 std::optional<MoveOffer> chooseMove(const MoveRequest&);
 
 } // namespace Balsammill::Shards
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -174,6 +174,8 @@
     /// From now on forecasts are impossible, and from the given time no task is started; runs are not stopped.
     /// Best-effort jobs that cannot go on are finished, durable ones wait. std::nullopt ends the evacuation.
     void setEvacuation(std::optional<TimePoint> noStartsFrom) { noStartsFrom_ = noStartsFrom; }
+    /// While it is not known whether the domain is evacuated, no task is started and everything else goes on.
+    void holdStarts(bool held) { startsHeld_ = held; }
 
     /// What the shard's tasks show about kinds of tasks that slow each other down.
     const InterferenceModel& interference() const { return interference_; }
@@ -281,6 +283,7 @@
     void finishEvacuatedJobs(TimePoint now);
     /// Free capacity that tasks may use: less than all of it while the upstream is cold.
     static Resources usableCapacity(const Upstream&, TimePoint now);
+    static bool hasRoomFor(const Upstream&, const Resources& need, TimePoint now);
 
     Options options_;
     RunTimeModel model_;
@@ -304,6 +307,7 @@
     TimePoint ownershipValidUntil_ { TimePoint::max() };
     // Set while the shard's failure domain is evacuated.
     std::optional<TimePoint> noStartsFrom_ {};
+    bool startsHeld_ { false };
     ProgressMark lastMark_ {};
     // Ended durable jobs whose end may not be in the store yet.
     struct UnrecordedJob {
--- a/libs/shards/include/balsammill/shards/ShardSelection.h
+++ b/libs/shards/include/balsammill/shards/ShardSelection.h
@@ -19,11 +19,13 @@
     std::int64_t freeMilliCores { 0 };
 };
 
+/// Chooses a shard in proportion to free capacity, as an index; empty if all are evacuated or there is none. random is
+/// a uniformly distributed number, such as a hash of the job's id. Many entries choose from the same reports, so that a
+/// single best shard would be flooded until the next report.
+std::optional<std::size_t> chooseByFreeCapacity(const std::vector<ShardCandidate>&, std::uint64_t random);
+
 /// Chooses the shard that a new job is sent to, as an index; empty if there is no candidate. Jobs go to the home shard
-/// with the most free capacity. If the home domain is evacuated, they are spread over the shards of the other domains
-/// in proportion to their free capacity: all entries of the domain choose from the same reports, so that a single best
-/// shard would be flooded until the next report. random is a uniformly distributed number, such as a hash of the job's
-/// id.
-std::optional<std::size_t> chooseShard(const std::vector<ShardCandidate>&, std::uint64_t random);
+/// with the most free capacity, or are spread by free capacity if the home domain is evacuated.
+std::optional<std::size_t> chooseShard(const std::vector<ShardCandidate>&, bool homeEvacuated, std::uint64_t random);
 
 } // namespace Balsammill::Shards
--- a/libs/shards/src/Admission.cpp
+++ b/libs/shards/src/Admission.cpp
@@ -1,5 +1,8 @@
 #include "balsammill/shards/Admission.h"
 
+#include "balsammill/base/StableHash.h"
+#include "balsammill/shards/ShardSelection.h"
+
 #include <algorithm>
 
 namespace Balsammill::Shards {
@@ -29,13 +32,20 @@
     // it adds.
     if (forecast.meetsObjective() && forecast.displacedWork <= forecast.ownWork)
         return AcceptJob {};
+    // In an evacuated failure domain the job cannot run at all, so that a shard which may have to refuse it is better
+    // than none. Many jobs leave the domain at the same time.
+    if (forecast.evacuated) {
+        std::vector<ShardCandidate> candidates;
+        for (const auto& other : request.others)
+            candidates.push_back({ .name = other.name, .freeMilliCores = other.freeMilliCores });
+        if (const auto chosen = chooseByFreeCapacity(candidates, stableHash(request.job.id.value)))
+            return RedirectToShard { request.others[*chosen].name };
+    }
     const OtherShard* best = nullptr;
     const auto needed = static_cast<std::int64_t>(capacityMargin * static_cast<double>(maxStepMilliCores(request.job)));
     for (const auto& other : request.others) {
-        // In an evacuated failure domain the job cannot run at all, so that a shard which may have to refuse it is
-        // better than none.
-        const bool hasRoom = other.waitingJobs == 0 && other.freeMilliCores >= needed;
-        if ((hasRoom || forecast.evacuated) && (best == nullptr || other.freeMilliCores > best->freeMilliCores))
+        if (other.waitingJobs == 0 && other.freeMilliCores >= needed
+            && (best == nullptr || other.freeMilliCores > best->freeMilliCores))
             best = &other;
     }
     if (best != nullptr)
--- a/libs/shards/src/InterferenceModel.cpp
+++ b/libs/shards/src/InterferenceModel.cpp
@@ -64,8 +64,20 @@
     return TaskKind(index);
 }
 
+void InterferenceModel::noteInUse(TaskKinds kinds, TimePoint now)
+{
+    for (std::size_t i = 0; i < kinds_.size(); ++i) {
+        if ((kinds & bitOf(TaskKind(i))) != 0)
+            kinds_[i].seenAt = now;
+    }
+}
+
 void InterferenceModel::forgetKind(std::size_t index)
 {
+    for (const auto& [key, pair] : pairs_) {
+        if (pair.active && (key.first == index || key.second == index))
+            changes_.push_back({ .interference = describe(key.first, key.second), .begins = false });
+    }
     kindByName_.erase(kinds_[index].name);
     std::erase_if(pairs_, [&](const auto& entry) {
         const bool concerned = entry.first.first == index || entry.first.second == index;
--- a/libs/shards/src/OwnerSelection.cpp
+++ b/libs/shards/src/OwnerSelection.cpp
@@ -67,10 +67,12 @@
 std::optional<MoveOffer> chooseMove(const MoveRequest& request)
 {
     const auto kept = request.overloaded ? minOwnershipIfOverloaded : minOwnership;
-    if (request.others.empty() || request.now < request.ownedSince + kept
-        || request.now < request.lastOfferAt + offerInterval)
+    auto others = request.others;
+    if (request.overloaded)
+        std::erase_if(others, [&](const OwnerCandidate& each) { return each.vm == request.formerOwner; });
+    if (others.empty() || request.now < request.ownedSince + kept || request.now < request.lastOfferAt + offerInterval)
         return std::nullopt;
-    const auto best = bySuitability(request.others).front();
+    const auto best = bySuitability(std::move(others)).front();
     // The owner's fitness for the shard that it has, among the shards that it has.
     auto owner = request.owner;
     owner.ownedShards = std::max(owner.ownedShards, 1U) - 1;
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -93,7 +93,7 @@
     Duration suspicionPeriod {};
     // After a suspicion period the upstream gets one task at a time until one succeeds.
     bool onProbation { false };
-    // When the current cold period was first reported.
+    // When the current cold period was first reported; the last registration if the upstream is not cold.
     TimePoint coldSince {};
 
     bool isCold(TimePoint now) const { return now < info.coldUntil; }
--- a/libs/shards/src/ShardEngineEvacuation.cpp
+++ b/libs/shards/src/ShardEngineEvacuation.cpp
@@ -14,17 +14,25 @@
 
 Resources ShardEngine::usableCapacity(const Upstream& upstream, TimePoint now)
 {
-    if (!upstream.isCold(now) || upstream.runs.empty())
+    if (!upstream.isCold(now))
         return upstream.freeCapacity;
     const auto period = static_cast<double>((upstream.info.coldUntil - upstream.coldSince).count());
     const auto elapsed = static_cast<double>((now - upstream.coldSince).count());
     const double share = initialColdShare + (1.0 - initialColdShare) * std::clamp(elapsed / period, 0.0, 1.0);
     auto usable = upstream.freeCapacity;
-    usable.milliCores
-        -= static_cast<std::int64_t>((1.0 - share) * static_cast<double>(upstream.info.capacity.milliCores));
+    const auto withheld
+        = static_cast<std::int64_t>((1.0 - share) * static_cast<double>(upstream.info.capacity.milliCores));
+    usable.milliCores = std::max<std::int64_t>(usable.milliCores - withheld, 0);
     return usable;
 }
 
+bool ShardEngine::hasRoomFor(const Upstream& upstream, const Resources& need, TimePoint now)
+{
+    // A task that needs more than the usable share runs alone on a cold upstream.
+    const bool idle = upstream.freeCapacity == upstream.info.capacity;
+    return need.fitsIn(idle ? upstream.freeCapacity : usableCapacity(upstream, now));
+}
+
 void ShardEngine::finishEvacuatedJobs(TimePoint now)
 {
     if (mayStartTasks(now))
@@ -32,7 +40,8 @@
     std::vector<Job*> notStarted;
     std::vector<Job*> interrupted;
     for (const auto& [key, job] : jobs_) {
-        if (job->spec->durable)
+        // An unconfirmed job ends by itself if its origin does not wait for it any more.
+        if (job->spec->durable || !isOriginConfirmed(*job, now))
             continue;
         bool waits = false;
         bool active = false;
@@ -42,6 +51,10 @@
                 || std::any_of(
                     step.tasks.begin(), step.tasks.end(), [now](const Task& task) { return task.isExpected(now); });
         }
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job->steps[step].tasks.size(); ++index)
+                active = active || liveRuns_.contains(job->taskKey(step, index));
+        }
         if (!waits || active)
             continue;
         (job->started ? interrupted : notStarted).push_back(job.get());
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -191,19 +191,23 @@
     job->firstStartAt = job->lastStartAt = now;
     const auto& need = job->spec->steps[running.task.step].need;
     upstream.freeCapacity -= need;
-    upstream.runs.emplace(running.task,
+    const auto [adopted, added] = upstream.runs.emplace(running.task,
         Run { .number = running.run,
             .job = job->key,
             .upstream = upstream.info.id,
             .origin = job->origin,
             .awaitsConfirmation = latestEndFor(job->origin) == TimePoint::min(),
             .need = need,
+            .kind = interference_.kindOf(*job->spec, job->spec->steps[running.task.step], now),
+            .longRunning = job->spec->longRunning,
             .startUnknown = !startKnown,
+            .startedCold = startSentAt < upstream.info.coldUntil,
             .listed = true,
             .state = RunState::Running,
             .startSentAt = startSentAt,
             .confirmedAt = now,
             .expectedEnd = startSentAt + job->expectedRunTime(model_, running.task.step) });
+    noteNeighbours(upstream, adopted->second);
     ++liveRuns_[running.task];
     actions_.emplace_back(TaskAdopted { .upstream = upstream.info.id, .task = running.task, .run = running.run });
     return true;
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -205,6 +205,7 @@
     }
     retryRuns(upstream, endedRuns, now);
     upstream.lastEndHandled = 0;
+    upstream.coldSince = now;
     upstream.leaseEndsBy = TimePoint {};
     upstream.unrecorded.clear();
     // The new incarnation has seen no fencing token, so it accepts starts of an earlier owner until this owner requests
@@ -260,7 +261,8 @@
             run.checkAt = run.startSentAt + limit;
             continue;
         }
-        model_.recordStopped(*job->spec, job->spec->steps[key.step], now - run.startSentAt);
+        if (!run.startedCold)
+            model_.recordStopped(*job->spec, job->spec->steps[key.step], now - run.startSentAt);
         if (++upstream.consecutiveFailures >= failuresBeforeSuspicion)
             suspect(upstream, now);
         ++task.overdueStops;
@@ -274,8 +276,10 @@
 
 void ShardEngine::advance(TimePoint now)
 {
-    for (auto& [id, upstream] : upstreams_)
+    for (auto& [id, upstream] : upstreams_) {
         checkOverdue(upstream, now);
+        interference_.noteInUse(kindsOn(upstream), now);
+    }
     noteLapsedLeases(now);
     finishEvacuatedJobs(now);
     dropLateJobs(now);
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -19,6 +19,8 @@
 // Weight of the expected slowdown by other tasks on the upstream. The ratings of upstreams vary by a third, and would
 // outweigh a slowdown by half without it.
 constexpr double interferenceWeight = 2.0;
+// Less than the cost of an upstream on which the task has failed.
+constexpr double maxInterferenceCost = 5.0;
 // Cost of a cold upstream: its tasks take longer, so a warm one is preferred even in another rack.
 constexpr double coldCost = 1.5;
 // Cost of an upstream on which the last run of the task failed, was overdue or, for a long-running task, ended too
@@ -114,7 +116,7 @@
     double bestCostWithoutInterference = std::numeric_limits<double>::max();
     for (auto& [id, upstream] : upstreams_) {
         if (!isUsable(upstream, now) || id == reserved || !canHold(upstream, *job.spec, step)
-            || !step.need.fitsIn(usableCapacity(upstream, now)))
+            || !hasRoomFor(upstream, step.need, now))
             continue;
         // These last until a confirmation or the end of a run arrives, so forecasts count on the upstream.
         if (!upstream.mayExtendLease(now) || upstream.leaseEndsBy > latestEnd
@@ -145,7 +147,7 @@
             bestWithoutInterference = &upstream;
         }
         if (kind)
-            cost += interferenceWeight * interference_.cost(*kind, kindsOn(upstream));
+            cost += std::min(interferenceWeight * interference_.cost(*kind, kindsOn(upstream)), maxInterferenceCost);
         if (cost < bestCost) {
             bestCost = cost;
             best = &upstream;
@@ -340,7 +342,7 @@
 
 void ShardEngine::schedule(TimePoint now)
 {
-    if (!mayStartTasks(now))
+    if (startsHeld_ || !mayStartTasks(now))
         return;
     Blocked blocked;
     for (const auto& queued : jobsInPlacementOrder(now)) {
@@ -365,7 +367,7 @@
             for (const auto& [id, upstream] : upstreams_) {
                 if (!isUsable(upstream, now) || upstream.onProbation || !canHold(upstream, *job->spec, step))
                     continue;
-                Resources freeCapacity = upstream.freeCapacity;
+                Resources freeCapacity = usableCapacity(upstream, now);
                 std::vector<const Run*> runs;
                 for (const auto& [key, run] : upstream.runs)
                     runs.push_back(&run);
@@ -376,7 +378,8 @@
                     if (run->longRunning)
                         continue;
                     freeCapacity += run->need;
-                    if (!step.need.fitsIn(freeCapacity))
+                    // An upstream without runs takes any task that it can hold.
+                    if (!step.need.fitsIn(freeCapacity) && run != runs.back())
                         continue;
                     if (run->expectedEnd < soonest) {
                         soonest = run->expectedEnd;
@@ -395,8 +398,10 @@
     for (const auto& [id, upstream] : upstreams_) {
         if (!isUsable(upstream, now) || !canHold(upstream, job, step))
             continue;
-        Resources freeCapacity = upstream.freeCapacity;
-        auto open = countSlots(usableCapacity(upstream, now), step.need);
+        Resources freeCapacity = usableCapacity(upstream, now);
+        auto open = countSlots(freeCapacity, step.need);
+        if (open == 0 && hasRoomFor(upstream, step.need, now))
+            open = 1;
         slots.insert(slots.end(), static_cast<std::size_t>(open), now);
         std::vector<const Run*> runs;
         for (const auto& [key, run] : upstream.runs)
--- a/libs/shards/src/ShardSelection.cpp
+++ b/libs/shards/src/ShardSelection.cpp
@@ -5,8 +5,6 @@
 
 namespace Balsammill::Shards {
 
-namespace {
-
 std::optional<std::size_t> chooseByFreeCapacity(const std::vector<ShardCandidate>& candidates, std::uint64_t random)
 {
     // A shard without free capacity keeps a small weight, because jobs have to go somewhere when all are full.
@@ -29,14 +27,11 @@
     return std::nullopt;
 }
 
-} // namespace
-
-std::optional<std::size_t> chooseShard(const std::vector<ShardCandidate>& candidates, std::uint64_t random)
+std::optional<std::size_t> chooseShard(
+    const std::vector<ShardCandidate>& candidates, bool homeEvacuated, std::uint64_t random)
 {
     if (candidates.empty())
         return std::nullopt;
-    const bool homeEvacuated = std::any_of(
-        candidates.begin(), candidates.end(), [](const ShardCandidate& each) { return each.home && each.evacuated; });
     if (homeEvacuated) {
         if (const auto chosen = chooseByFreeCapacity(candidates, random))
             return chosen;
--- a/libs/shards/tests/EvacuationTests.cpp
+++ b/libs/shards/tests/EvacuationTests.cpp
@@ -123,7 +123,7 @@
     constexpr int jobs = 400;
     std::map<std::size_t, int> chosen;
     for (int i = 0; i < jobs; ++i)
-        ++chosen[chooseShard(candidates, stableHash("job-" + std::to_string(i))).value()];
+        ++chosen[chooseShard(candidates, true, stableHash("job-" + std::to_string(i))).value()];
     CHECK_EQ(chosen[0], 0);
     for (std::size_t i = 1; i < candidates.size(); ++i) {
         const auto share = static_cast<double>(candidates[i].freeMilliCores) / 400'000;
@@ -136,13 +136,58 @@
 TEST_CASE("Jobs go to the home shard with the most free capacity unless its domain is evacuated")
 {
     auto candidates = fourDomains(false);
-    CHECK_EQ(chooseShard(candidates, 77), 0);
+    CHECK_EQ(chooseShard(candidates, false, 77), 0);
     candidates.push_back({ .name = ShardName("valencia/1"), .home = true, .freeMilliCores = 310'000 });
-    CHECK_EQ(chooseShard(candidates, 77), 4);
+    CHECK_EQ(chooseShard(candidates, false, 77), 4);
     for (auto& each : candidates)
         each.evacuated = true;
-    CHECK_EQ(chooseShard(candidates, 77), 4);
-    CHECK_FALSE(chooseShard({}, 77).has_value());
+    CHECK_EQ(chooseShard(candidates, true, 77), 4);
+    CHECK_FALSE(chooseShard({}, true, 77).has_value());
+}
+
+// Guards against tasks that are started by an owner which does not know yet whether its domain is evacuated.
+TEST_CASE("No task starts before the operator's requests have been read")
+{
+    EvacuatedShard shard;
+    shard.engine.holdStarts(true);
+    shard.submit({}, 0);
+    CHECK(shard.scheduleAndTake<StartTask>(1).empty());
+    CHECK(shard.engine.forecast(makeSpec({ .id = "00000000000000a2" }), at(1), at(1)).meetsObjective());
+    shard.engine.holdStarts(false);
+    CHECK_EQ(shard.scheduleAndTake<StartTask>(2).size(), 1);
+}
+
+// Guards against the answer that a job has not run, although a run of an earlier attempt is still being stopped.
+TEST_CASE("A job that was cancelled and submitted again is not sent on while its old run may be active")
+{
+    EvacuatedShard shard;
+    const auto first = shard.submit({}, 0);
+    const auto starts = shard.scheduleAndTake<StartTask>(1);
+    REQUIRE_EQ(starts.size(), 1);
+    shard.confirmStart(starts[0], 2);
+    shard.engine.cancel(first, at(3));
+    shard.submit({}, 4);
+    shard.evacuate(5);
+    shard.engine.advance(at(6));
+    CHECK(shard.takeActionsOf<FinishJob>().empty());
+    shard.reportEnd(starts[0], 1, RunEnd::Stopped, 30);
+    shard.engine.advance(at(31));
+    CHECK_EQ(shard.takeActionsOf<FinishJob>().size(), 1);
+}
+
+// Guards against a task that never fits on upstreams which are all cold.
+TEST_CASE("A task that needs more than the usable share of a cold upstream runs there alone")
+{
+    EngineFixture fixture;
+    auto info = makeUpstream("cold", 40'000);
+    info.coldUntil = at(60'000);
+    fixture.addUpstream(info);
+    CHECK_LT(fixture.engine.load(at(1)).freeMilliCores, 11'000);
+    fixture.submit({ .id = "00000000000000a1", .milliCores = 30'000 }, 1);
+    CHECK_EQ(fixture.scheduleAndTake<StartTask>(1).size(), 1);
+    CHECK_GE(fixture.engine.load(at(1)).freeMilliCores, 0);
+    fixture.submit({ .id = "00000000000000a2", .milliCores = 5'000 }, 2);
+    CHECK(fixture.scheduleAndTake<StartTask>(2).empty());
 }
 
 // Load: a burst of small tasks beside an upstream that has just started. Guards against an upstream that is filled with
--- a/libs/shards/tests/LongRunningPlacementTests.cpp
+++ b/libs/shards/tests/LongRunningPlacementTests.cpp
@@ -51,8 +51,8 @@
     CHECK_EQ(fixture.scheduleAndTake<StartTask>(1'600).size(), 1);
 }
 
-// Guards against a reservation that keeps free capacity from all other tasks until a run ends that does not end (review,
-// reservation-without-end).
+// Guards against a reservation that keeps free capacity from all other tasks until a run ends that does not end
+// (review, reservation-without-end).
 TEST_CASE("A task that waits for the capacity of a long-running one reserves no upstream")
 {
     LongRunningFixture fixture;
--- a/libs/shards/tests/OwnerSelectionTests.cpp
+++ b/libs/shards/tests/OwnerSelectionTests.cpp
@@ -78,6 +78,10 @@
     REQUIRE(move.has_value());
     CHECK_EQ(move->to, VmName("c"));
     CHECK_EQ(move->reason, OfferReason::Overloaded);
+    // Neither of the two can carry the shard, so that it would go to and fro.
+    overloaded.formerOwner = VmName("c");
+    CHECK_FALSE(chooseMove(overloaded).has_value());
+    overloaded.formerOwner = VmName();
     overloaded.others = { entry("a", small) };
     CHECK_FALSE(chooseMove(overloaded).has_value());
 }
--- a/tests/platform/ClientLimitTests.cpp
+++ b/tests/platform/ClientLimitTests.cpp
@@ -61,6 +61,15 @@
     entry.checkServes();
 }
 
+// Guards against heads whose many small fields are kept in parsed form, which takes twenty times their bytes.
+TEST_CASE("An entry serves beside clients that send heads of many small fields [node]")
+{
+    CrowdedEntry entry("node-small-fields");
+    ClientCrowd crowd(entry.fleet.clientPort(0), crowdSize);
+    crowd.send(requestLine + "a", ":\r\na", 100 * kilobyte);
+    entry.checkServes();
+}
+
 // Guards against an entry that buffers empty lines before a request without a limit.
 TEST_CASE("An entry serves beside clients that send empty lines without end [node]")
 {
