Log runs that are taken for lost and ends that stay unacknowledged

A run that a report does not list is dropped silently, and an acknowledgement that does not advance cannot be told from a store that does not answer, or from one that is withheld because of its connection.

Change: task.run_lost names the run and the length of the report's list of ends. upstream.acknowledgement_late gives, for an end that has been listed for a second, what was handled, what was acknowledged, and the job and progress mark for which the lowest unrecorded end waits. Both have a counter.

The decisions are unchanged.

--- a/libs/node/src/serving/ShardServer.h
+++ b/libs/node/src/serving/ShardServer.h
@@ -128,6 +128,7 @@
     void execute(const Shards::UpstreamSuspected&);
     void execute(const Shards::ProgressChanged&);
     void execute(const Shards::TaskAdopted&);
+    void execute(const Shards::RunLost&);
     void execute(const Shards::PermitRequest&);
     Shards::AdmissionDecision admit(const Shards::JobSpec&, const Shards::JobForecast&, bool mayRedirect) const;
     /// Submits a durable job once the jobs of earlier owners are known: it may be one of them.
--- a/libs/node/src/serving/ShardServerActions.cpp
+++ b/libs/node/src/serving/ShardServerActions.cpp
@@ -162,6 +162,14 @@
         target->stop(stop);
 }
 
+void ShardServer::execute(const Shards::RunLost& lost)
+{
+    context_.metrics.add("balsammill_runs_lost_total");
+    context_.log.event("task.run_lost",
+        { { "id", lost.task.job.value }, { "index", std::uint64_t { lost.task.index } }, { "run", lost.run.value },
+            { "upstream", lost.upstream.value }, { "listed_ends", std::uint64_t { lost.listedEnds } } });
+}
+
 void ShardServer::execute(const Shards::TaskFailed& failed)
 {
     context_.metrics.add("balsammill_task_failures_total");
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -24,6 +24,8 @@
 // Idle connections that are kept open. Starts, stops and checks use about one per task that fits on an upstream.
 constexpr std::size_t pollConnections = 1;
 constexpr std::size_t commandConnections = 3;
+// The acknowledgement of ends is logged as late if it has not advanced for this long; a store write takes some 50 ms.
+constexpr Duration lateAcknowledgement = std::chrono::seconds(1);
 // Connections that are remembered for acknowledgements of ends.
 constexpr std::size_t maxReporters = 16;
 
@@ -393,6 +395,26 @@
     return false;
 }
 
+void UpstreamSession::noteAcknowledgement(const Shards::UpstreamReport& report, TimePoint now)
+{
+    const auto firstListed = report.ended.empty() ? 0 : report.ended.front().sequence;
+    if (report.ended.empty() || firstListed != firstListedEnd_) {
+        firstListedEnd_ = firstListed;
+        acknowledgementLateAt_ = now + lateAcknowledgement;
+        return;
+    }
+    if (now < acknowledgementLateAt_)
+        return;
+    acknowledgementLateAt_ = now + lateAcknowledgement;
+    const auto state = engine_.endsState(id_);
+    context_.metrics.add("balsammill_late_acknowledgements_total");
+    context_.log.event("upstream.acknowledgement_late",
+        { { "upstream", id_.value }, { "listed_ends", std::uint64_t { report.ended.size() } },
+            { "first_end", firstListed }, { "handled_end", state.handled }, { "acknowledged_end", acknowledgedEnd_ },
+            { "unrecorded_ends", std::uint64_t { state.unrecorded } },
+            { "oldest_unrecorded", state.oldestJob.job.value }, { "mark", state.oldestMark.value } });
+}
+
 void UpstreamSession::resolveStarts(const Shards::UpstreamReport& report, Shards::FencingToken token, TimePoint now)
 {
     std::erase_if(startsInDoubt_, [&](const StartInDoubt& start) {
@@ -439,6 +461,7 @@
         if (isOutdated(response, report)) {
             engine_.setReachable(id_, true, now);
         } else {
+            noteAcknowledgement(report, now);
             // An end that the poll should have reported shows that the poll is lost.
             if (!report.ended.empty() && pollSentAt_ + answerTimes_.repeatInterval() < sent.sentAt)
                 pollOutstanding_ = false;
--- a/libs/node/src/serving/UpstreamSession.h
+++ b/libs/node/src/serving/UpstreamSession.h
@@ -105,6 +105,8 @@
     /// True if the report is older than one that was handled before: answers on different connections may overtake
     /// each other.
     bool isOutdated(const HttpResponse&, const Shards::UpstreamReport&);
+    /// Logs it if the acknowledgement of ends does not advance.
+    void noteAcknowledgement(const Shards::UpstreamReport&, TimePoint now);
     void resolveStarts(const Shards::UpstreamReport&, Shards::FencingToken, TimePoint now);
     void handleReportFailure(TimePoint now, const std::string& reason);
     void handleExpiry(TimePoint now);
@@ -144,6 +146,10 @@
     TimePoint idleSince_ {};
     Duration retryDelay_ {};
     std::uint64_t acknowledgedEnd_ { 0 };
+    // Lowest end that the last report listed; 0 if it listed none.
+    std::uint64_t firstListedEnd_ { 0 };
+    // When it is logged that this end is still listed.
+    TimePoint acknowledgementLateAt_ {};
     std::uint64_t lastPoll_ { 0 };
     TimePoint pollSentAt_ {};
     // The last answered report request acknowledged nothing although ends were due.
--- a/libs/shards/include/balsammill/shards/ShardActions.h
+++ b/libs/shards/include/balsammill/shards/ShardActions.h
@@ -2,6 +2,7 @@
 
 #include "balsammill/shards/JobSpec.h"
 
+#include <cstddef>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -93,8 +94,18 @@
     RunNumber run;
 };
 
+/// A report of the upstream shows that a needed run no longer exists, without listing its end, so its task is started
+/// again. For the log only; nothing has to be sent.
+struct RunLost {
+    UpstreamId upstream;
+    TaskKey task;
+    RunNumber run;
+    /// Number of ends in the report.
+    std::size_t listedEnds { 0 };
+};
+
 using ShardAction = std::variant<StartTask, StopTask, FinishJob, TaskFailed, UpstreamSuspected, ProgressChanged,
-    TaskAdopted, PermitRequest>;
+    TaskAdopted, RunLost, PermitRequest>;
 using ShardActions = std::vector<ShardAction>;
 
 } // namespace Balsammill::Shards
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -205,6 +205,17 @@
     std::uint64_t lastEndToAcknowledge(const UpstreamId&) const;
     /// True if handled ends may not be acknowledged yet, because they are not recorded.
     bool hasUnrecordedEnds(const UpstreamId&) const;
+    /// State of the acknowledgement of an upstream's ends, for logs.
+    struct EndsState {
+        /// Highest sequence number that was handled.
+        std::uint64_t handled { 0 };
+        /// Number of handled ends that are not recorded.
+        std::size_t unrecorded { 0 };
+        /// Job and mark of the lowest of them.
+        OccurrenceKey oldestJob {};
+        ProgressMark oldestMark {};
+    };
+    EndsState endsState(const UpstreamId&) const;
     std::size_t unfinishedJobs() const;
     std::size_t waitingTasks() const;
     /// Number of jobs of a queue that have no started task.
--- a/libs/shards/src/ShardEngineDurable.cpp
+++ b/libs/shards/src/ShardEngineDurable.cpp
@@ -105,6 +105,22 @@
     return found != upstreams_.end() && !found->second.unrecorded.empty();
 }
 
+ShardEngine::EndsState ShardEngine::endsState(const UpstreamId& id) const
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return {};
+    const auto& unrecorded = found->second.unrecorded;
+    EndsState state { .handled = found->second.lastEndHandled, .unrecorded = unrecorded.size() };
+    const auto oldest = std::min_element(unrecorded.begin(), unrecorded.end(),
+        [](const UnrecordedEnd& a, const UnrecordedEnd& b) { return a.sequence < b.sequence; });
+    if (oldest != unrecorded.end()) {
+        state.oldestJob = oldest->job;
+        state.oldestMark = oldest->mark;
+    }
+    return state;
+}
+
 std::uint64_t ShardEngine::lastEndToAcknowledge(const UpstreamId& id) const
 {
     const auto found = upstreams_.find(id);
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -143,6 +143,12 @@
         if (!listed && graceOver && (wasRunning || presumedStopped))
             lostRuns.push_back(key);
     }
+    for (const auto& key : lostRuns) {
+        const auto& run = upstream.runs.at(key);
+        if (!run.job.empty())
+            actions_.emplace_back(
+                RunLost { .upstream = id, .task = key, .run = run.number, .listedEnds = report.ended.size() });
+    }
     retryRuns(upstream, lostRuns, now);
     if (upstream.firstReportAt == TimePoint {})
         upstream.firstReportAt = now;
--- a/libs/shards/tests/LostReportTests.cpp
+++ b/libs/shards/tests/LostReportTests.cpp
@@ -70,6 +70,21 @@
     CHECK(scenario.needsReport(110));
 }
 
+// Guards against repeated runs whose cause no log shows.
+TEST_CASE("A run that two reports do not list is named as lost")
+{
+    RunWithoutNews scenario;
+    scenario.report(50, false);
+    CHECK(scenario.fixture.takeActionsOf<RunLost>().empty());
+    scenario.report(110, false);
+    const auto lost = scenario.fixture.takeActionsOf<RunLost>();
+    REQUIRE_EQ(lost.size(), 1);
+    CHECK_EQ(lost[0].upstream, scenario.start.upstream);
+    CHECK_EQ(lost[0].task, scenario.start.task);
+    CHECK_EQ(lost[0].run, scenario.start.run);
+    CHECK_EQ(lost[0].listedEnds, 0);
+}
+
 // Guards against exceeded capacity: a start got no answer, its job was cancelled, and the run that had begun is being
 // stopped, so that a report lists it neither as running nor as ended.
 TEST_CASE("A start without an answer whose run is being stopped keeps its capacity until later reports decide")
