Record the progress marks of jobs that have ended or left the table

Cause: DurableJobTable kept the newest unwritten mark in the job's entry. The end of a task that arrived while the final state of its job was being written set the mark there, and handleWritten() cleared it with the occurrences. The same happened to marks of removed and unknown jobs. The engine acknowledges an end only once its mark is recorded, and ends are acknowledged in order.

Change: unwritten marks are kept by occurrence, apart from the entries. Each batch of a job takes its marks, and a failed batch returns them.

--- a/libs/shards/include/balsammill/shards/DurableJobTable.h
+++ b/libs/shards/include/balsammill/shards/DurableJobTable.h
@@ -110,11 +110,16 @@
     void setAccepted(Entry&);
     void updateWaitingCount(const Entry&, bool before, bool after);
     static JobStateRecord recordOf(const Entry&);
+    /// Moves the unwritten marks of a job into the batch. The entry is null if the table no longer has the job.
+    void takeProgress(const JobId&, Entry*, const ProgressReader&, JournalBatch&);
 
     Options options_;
     std::map<JobId, std::unique_ptr<Entry>> entries_;
     // Jobs with changes to write.
     std::set<JobId> dirty_;
+    // Newest progress mark of the engine for each occurrence, until a batch records it. Kept apart from the entries,
+    // since the acknowledgement of ends waits for each mark, whatever happens to its job meanwhile.
+    std::map<OccurrenceKey, ProgressMark> unwritten_;
     // Accepted jobs with occurrences that takeDue() has not returned yet.
     std::set<JobId> jobsWithPendingOccurrences_;
     // Ended jobs by Unix time of their end in milliseconds.
--- a/libs/shards/src/DurableJobTable.cpp
+++ b/libs/shards/src/DurableJobTable.cpp
@@ -8,8 +8,6 @@
     struct Occurrence {
         bool completed { false };
         JobProgress progress {};
-        // Newest progress mark of the engine that is not written yet.
-        std::optional<ProgressMark> unwritten {};
     };
 
     // Null once the state is final.
@@ -166,13 +164,29 @@
 
 void DurableJobTable::recordProgress(const ProgressChanged& change)
 {
-    auto* entry = find(change.job.job);
-    if (entry == nullptr)
-        return;
-    entry->occurrences[change.job.occurrence].unwritten = change.mark;
+    if (auto* entry = find(change.job.job); entry != nullptr && !isFinal(entry->state))
+        entry->occurrences.try_emplace(change.job.occurrence);
+    // Also for a job that is not in the table any more: its next batch records the mark.
+    unwritten_[change.job] = change.mark;
     dirty_.insert(change.job.job);
 }
 
+void DurableJobTable::takeProgress(const JobId& id, Entry* entry, const ProgressReader& progressOf, JournalBatch& batch)
+{
+    for (auto it = unwritten_.lower_bound({ .job = id }); it != unwritten_.end() && it->first.job == id;) {
+        const auto& [key, mark] = *it;
+        if (entry != nullptr) {
+            const auto occurrence = entry->occurrences.find(key.occurrence);
+            if (occurrence != entry->occurrences.end()) {
+                if (auto progress = progressOf(key))
+                    occurrence->second.progress = std::move(*progress);
+            }
+        }
+        batch.progress.push_back({ .job = key, .mark = mark });
+        it = unwritten_.erase(it);
+    }
+}
+
 void DurableJobTable::recordFinished(const OccurrenceKey& key, JobResult result, std::int64_t nowUnixMs)
 {
     auto* entry = find(key.job);
@@ -250,6 +264,7 @@
         const auto id = *dirty_.begin();
         dirty_.erase(dirty_.begin());
         auto* existing = find(id);
+        takeProgress(id, existing, progressOf, batch);
         if (existing == nullptr)
             continue;
         auto& entry = *existing;
@@ -260,15 +275,6 @@
             ++rows;
             continue;
         }
-        for (auto& [number, occurrence] : entry.occurrences) {
-            if (!occurrence.unwritten)
-                continue;
-            const OccurrenceKey key { .job = id, .occurrence = number };
-            if (auto progress = progressOf(key))
-                occurrence.progress = std::move(*progress);
-            batch.progress.push_back({ .job = key, .mark = *occurrence.unwritten });
-            occurrence.unwritten.reset();
-        }
         const bool final = isFinal(entry.state);
         if (!entry.specWritten && !final)
             change.newSpec = entry.spec;
@@ -326,11 +332,9 @@
         urgent_ = urgent_ || isFinal(entry->state);
     }
     for (const auto& progress : batch.progress) {
-        auto* entry = find(progress.job.job);
-        if (entry == nullptr)
-            continue;
-        auto& unwritten = entry->occurrences[progress.job.occurrence].unwritten;
-        unwritten = std::max(unwritten.value_or(progress.mark), progress.mark);
+        auto& unwritten = unwritten_[progress.job];
+        unwritten = std::max(unwritten, progress.mark);
+        dirty_.insert(progress.job.job);
     }
 }
 
--- a/libs/shards/tests/DurableJobTableTests.cpp
+++ b/libs/shards/tests/DurableJobTableTests.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <random>
+
 using namespace Balsammill;
 using namespace Balsammill::Shards;
 using namespace Balsammill::Shards::Testing;
@@ -222,3 +225,119 @@
     CHECK_EQ(accepted, 30);
     CHECK_EQ(book.takeDue(0).size(), 30);
 }
+
+// Guards against ends that are never acknowledged: a job was cancelled, the end of one of its tasks arrived while the
+// write of its final state was in flight, and the acknowledgement of all later ends of the upstream waited for its
+// mark.
+TEST_CASE("Progress that is reported while the final state of its job is being written is recorded by the next batch")
+{
+    for (const auto state : { JobState::Cancelled, JobState::Failed, JobState::Completed }) {
+        CAPTURE(static_cast<int>(state));
+        DurableJobTable book;
+        book.submit(durableJob());
+        writeAll(book);
+        book.takeDue(0);
+        if (state == JobState::Cancelled)
+            book.cancel(id, 1'000);
+        else
+            book.recordFinished(first, state == JobState::Failed ? JobResult::Failed : JobResult::Completed, 1'000);
+        const auto batch = book.takeBatch(noProgress);
+        book.recordProgress({ .job = first, .mark = ProgressMark(7) });
+        book.handleWritten(batch);
+        const auto next = writeAll(book);
+        REQUIRE_EQ(next.progress.size(), 1);
+        CHECK_EQ(next.progress[0].job, first);
+        CHECK_EQ(next.progress[0].mark.value, 7);
+        CHECK(book.stateOf(id) == state);
+    }
+}
+
+// Guards against the same when the job's state expires meanwhile, or was never in the table.
+TEST_CASE("Progress of a job that the table does not have is recorded by the next batch")
+{
+    DurableJobTable book;
+    book.submit(durableJob());
+    writeAll(book);
+    book.takeDue(0);
+    book.recordFinished(first, JobResult::Failed, 1'000);
+    writeAll(book);
+    book.expire(1'000'000);
+    book.recordProgress({ .job = first, .mark = ProgressMark(3) });
+    const auto removal = book.takeBatch(noProgress);
+    REQUIRE_EQ(removal.progress.size(), 1);
+    CHECK_EQ(removal.progress[0].mark.value, 3);
+    book.recordProgress({ .job = first, .mark = ProgressMark(4) });
+    book.handleWritten(removal);
+    const auto afterRemoval = writeAll(book);
+    REQUIRE_EQ(afterRemoval.progress.size(), 1);
+    CHECK_EQ(afterRemoval.progress[0].mark.value, 4);
+    CHECK(afterRemoval.changes.empty());
+
+    book.recordProgress({ .job = { .job = JobId("unknown") }, .mark = ProgressMark(5) });
+    const auto unknown = writeAll(book);
+    REQUIRE_EQ(unknown.progress.size(), 1);
+    CHECK_EQ(unknown.progress[0].mark.value, 5);
+}
+
+// Guards against every other order of events in which a job leaves the table while a mark of it is not recorded.
+TEST_CASE("Each progress mark is recorded once the store confirms batches, whatever happens to its job")
+{
+    std::mt19937 random(46);
+    const auto oneIn = [&random](unsigned n) { return random() % n == 0; };
+    for (int schedule = 0; schedule < 200; ++schedule) {
+        CAPTURE(schedule);
+        DurableJobTable book({ .retention = std::chrono::milliseconds(20), .maxRows = 4 });
+        std::map<OccurrenceKey, ProgressMark> reported;
+        std::map<OccurrenceKey, ProgressMark> recorded;
+        std::optional<JournalBatch> inFlight;
+        const auto complete = [&](bool written) {
+            if (!written) {
+                book.handleWriteFailed(*inFlight);
+            } else {
+                book.handleWritten(*inFlight);
+                for (const auto& each : inFlight->progress)
+                    recorded[each.job] = std::max(recorded[each.job], each.mark);
+            }
+            inFlight.reset();
+        };
+        std::uint64_t lastMark = 0;
+        for (int now = 0; now < 400; ++now) {
+            const JobId job { "job" + std::to_string(random() % 6) };
+            const OccurrenceKey key { .job = job, .occurrence = static_cast<std::uint32_t>(random() % 2) };
+            switch (random() % 8) {
+            case 0: {
+                auto spec = makeSpec({ .id = job.value });
+                spec.durable = true;
+                spec.schedule = RepeatSchedule { .count = 2, .firstRunUnixMs = 0, .interval = Duration(0) };
+                book.submit(std::make_shared<const JobSpec>(spec));
+                break;
+            }
+            case 1:
+                book.cancel(job, now);
+                break;
+            case 2:
+                book.recordFinished(key, oneIn(2) ? JobResult::Completed : JobResult::Failed, now);
+                break;
+            case 3:
+                book.expire(now);
+                break;
+            case 4:
+                book.recordProgress({ .job = key, .mark = reported[key] = ProgressMark(++lastMark) });
+                break;
+            default:
+                if (inFlight)
+                    complete(!oneIn(4));
+                else if (book.hasChanges())
+                    inFlight = book.takeBatch(noProgress);
+            }
+            book.takeDue(now);
+        }
+        for (int writes = 0; inFlight || (book.hasChanges() && writes < 1'000); ++writes) {
+            if (!inFlight)
+                inFlight = book.takeBatch(noProgress);
+            complete(true);
+        }
+        CHECK_FALSE(book.hasChanges());
+        CHECK_EQ(recorded, reported);
+    }
+}
