Decide about missing runs only by reports with all ends

Cause: an upstream lists at most 500 ends. A run whose end is beyond them is in neither list of a report, and the engine took it for lost. The same report also decided about starts without an answer, about runs after an expired lease and about runs of a former owner.

Change: a report says whether its list of ends is complete. An incomplete one decides about no run that it does not list as running: such runs stay, with their capacity and lease; a start stays in doubt; an upstream is not confirmed under a new owner, and inherited tasks that may have ended there wait. Checks are 50 ms apart meanwhile, since polls already bring the acknowledgements.

--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -24,6 +24,8 @@
 // Idle connections that are kept open. Starts, stops and checks use about one per task that fits on an upstream.
 constexpr std::size_t pollConnections = 1;
 constexpr std::size_t commandConnections = 3;
+// Minimum interval between checks while reports list only some of the ends, so that none decides about a run.
+constexpr Duration incompleteReportInterval = std::chrono::milliseconds(50);
 // The acknowledgement of ends is logged as late if it has not advanced for this long; a store write takes some 50 ms.
 constexpr Duration lateAcknowledgement = std::chrono::seconds(1);
 // Connections that are remembered for acknowledgements of ends.
@@ -465,11 +467,14 @@
             // An end that the poll should have reported shows that the poll is lost.
             if (!report.ended.empty() && pollSentAt_ + answerTimes_.repeatInterval() < sent.sentAt)
                 pollOutstanding_ = false;
-            // A long-polled report is complete at the time of its answer, so it is conclusive for all runs confirmed
-            // before the request was sent.
-            if (engine_.handleReport(id_, report, sent.sentAt, now) || sent.afterExpiry)
+            // A long-polled report shows the state at the time of its answer, so a complete one is conclusive for all
+            // runs confirmed before the request was sent.
+            const bool handled = engine_.handleReport(id_, report, sent.sentAt, now);
+            if (!report.complete && sent.client == commandClient_.get())
+                checkRetryAt_ = now + incompleteReportInterval;
+            if (report.complete && (handled || sent.afterExpiry))
                 resolveStarts(report, sent.token, now);
-            if (sent.afterExpiry) {
+            if (report.complete && sent.afterExpiry) {
                 leases_.reportExpiry(now);
                 logExpiry(now, report.running.size());
                 engine_.handleLeaseExpired(id_, report, sent.sentAt, now);
--- a/libs/node/tests/UpstreamSessionTests.cpp
+++ b/libs/node/tests/UpstreamSessionTests.cpp
@@ -37,6 +37,9 @@
 
     void listEnds(const std::string& rows) { ends_ = rows; }
 
+    /// Starts get no answer from now on.
+    void ignoreStarts() { ignoresStarts_ = true; }
+
     /// last_seen of all report requests to the current incarnation.
     std::vector<std::string> acknowledged;
 
@@ -61,6 +64,10 @@
     void handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
     {
         const std::string clock = R"({"clock_ms":)" + std::to_string(++clockMs_);
+        if (request.target == "/balsammill/run-start" && ignoresStarts_) {
+            unanswered_.push_back(exchange);
+            return;
+        }
         if (request.target == "/balsammill/run-start") {
             running_ = "[" + valueOf(request.body, "task") + "," + valueOf(request.body, "run") + R"(,"",0,0])";
             exchange->respond({ .status = 200, .fields = {}, .body = clock + "}" });
@@ -84,8 +91,19 @@
     std::int64_t clockMs_ { 100 };
     std::string ends_;
     std::string running_;
+    bool ignoresStarts_ { false };
+    std::vector<std::shared_ptr<HttpExchange>> unanswered_;
 };
 
+std::string rowsOfEnds(int count)
+{
+    std::string rows;
+    for (int i = 1; i <= count; ++i)
+        rows += (i == 1 ? "[" : ",[") + std::to_string(i) + R"(,"00000000000000b1.0.0.)" + std::to_string(i)
+            + R"(",1,"done",""])";
+    return rows;
+}
+
 struct Fixture {
     boost::asio::io_context loop;
     StructuredLog log { { .vm = "front-1" } };
@@ -176,3 +194,24 @@
     CHECK(fixture.runUntil(
         [&] { return !fixture.upstream.acknowledged.empty() && fixture.upstream.acknowledged.back() == "1"; }));
 }
+
+// Guards against a second run of a task: its start got no answer, it has run and ended, and its end is not among the
+// 500 that the report lists.
+TEST_CASE("A start without an answer is not taken for one that was never carried out while reports list 500 ends")
+{
+    Fixture fixture;
+    const Shards::UpstreamId id { "i-1" };
+    REQUIRE(fixture.runUntil([&] { return fixture.engine.isConfirmed(id); }));
+    fixture.upstream.ignoreStarts();
+    fixture.upstream.listEnds(rowsOfEnds(500));
+    fixture.startTask();
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.metrics.exposition().find(R"(starts_total{outcome="unanswered"} 1)") != std::string::npos;
+    }));
+    const auto reports = fixture.upstream.acknowledged.size();
+    REQUIRE(fixture.runUntil(
+        [&] { return !fixture.engine.isBusy(id) || fixture.upstream.acknowledged.size() >= reports + 5; }));
+    CHECK(fixture.engine.isBusy(id));
+    fixture.upstream.listEnds(rowsOfEnds(499));
+    CHECK(fixture.runUntil([&] { return !fixture.engine.isBusy(id); }));
+}
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -70,8 +70,8 @@
     ShardEngine& operator=(ShardEngine&&) noexcept;
 
     // Upstreams. An upstream gets no tasks before it has sent two reports under the owner's fencing token, the second
-    // one requested at least Options::stopGrace after the first: a run that an earlier owner is stopping uses capacity,
-    // but the first report lists it neither as running nor as ended.
+    // one complete and requested at least Options::stopGrace after the first: a run that an earlier owner is stopping
+    // uses capacity, but the first report lists it neither as running nor as ended.
 
     /// Adds an upstream, or updates it from its current registration.
     void updateUpstream(const UpstreamInfo&, TimePoint now);
@@ -84,13 +84,14 @@
     /// The lease of the upstream has expired, so no run that was started there before is still in progress.
     void handleLeaseExpired(const UpstreamId&, TimePoint now);
     /// The lease should have expired before this report was requested. The runs that it lists are still in progress,
-    /// because a grant was carried out late; no other run from before is. Call it after handleReport().
+    /// because a grant was carried out late; no other run from before is. Call it after handleReport(), with a complete
+    /// report.
     void handleLeaseExpired(const UpstreamId&, const UpstreamReport&, TimePoint sentAt, TimePoint now);
     void handleStarted(const UpstreamId&, const TaskKey&, RunNumber, TimePoint now);
     void handleStartRefused(const UpstreamId&, const TaskKey&, RunNumber, StartRefusal, TimePoint now);
     /// The run does not exist on the upstream and can no longer start there.
     void handleNeverStarted(const UpstreamId&, const TaskKey&, RunNumber, TimePoint now);
-    /// The run can no longer start, and a report does not list it. If it is being stopped it may still use its
+    /// The run can no longer start, and a complete report does not list it. If it is being stopped it may still use its
     /// capacity, so later reports decide; else it was never started.
     void handleUnlistedStart(const UpstreamId&, const TaskKey&, RunNumber, TimePoint now);
 
@@ -247,6 +248,9 @@
     static void applyProgress(Job&, const JobProgress&);
     ProgressMark emitProgressChanged(const OccurrenceKey&);
     bool mayAdoptRun(const Job&, const Upstream&, const TaskKey&) const;
+    /// True while a run of an earlier owner may be in progress, or may have ended without this owner knowing how.
+    bool isExpected(const Task&, TimePoint now) const;
+    bool mayStartInherited(TimePoint now) const;
     void clearExpectedRuns(const UpstreamId&);
     void startTask(Job&, std::uint32_t step, std::uint32_t index, Upstream&, RunNumber, TimePoint now);
     void stopRun(Upstream&, Run&, TimePoint now);
--- a/libs/shards/include/balsammill/shards/UpstreamInfo.h
+++ b/libs/shards/include/balsammill/shards/UpstreamInfo.h
@@ -62,8 +62,11 @@
 struct UpstreamReport {
     std::int64_t startedUnixMs { 0 };
     std::vector<RunningTask> running;
-    /// Ends that the owner has not acknowledged yet.
+    /// Ends that the owner has not acknowledged yet, the oldest first.
     std::vector<EndedTask> ended;
+    /// False if there may be further ends, which are listed once these are acknowledged. Such a report does not show
+    /// whether a run that it does not list as running has ended, or how.
+    bool complete { true };
 };
 
 /// Why an upstream did not start a task.
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -77,6 +77,8 @@
     // Number of runs of earlier owners; the free capacity is unknown while there are any.
     std::uint32_t earlierOwnerRuns { 0 };
     std::uint64_t lastEndHandled { 0 };
+    // The last report listed only some of the ends.
+    bool hasUnlistedEnds { false };
     // Start time (Unix milliseconds) of the incarnation whose registration is in info; 0 if it stated none.
     std::int64_t registeredStartedUnixMs { 0 };
     std::vector<UnrecordedEnd> unrecorded;
@@ -106,6 +108,10 @@
         }) || std::any_of(unrecorded.begin(), unrecorded.end(), [](const auto& end) { return !end.leaseLapsed; });
     }
 
+    // True if runs of earlier owners may have ended without this owner knowing it yet. An upstream that does not answer
+    // does not count: then the leases decide.
+    bool hidesEarlierEnds() const { return registered && reachable && !confirmed && hasUnlistedEnds; }
+
     // True if a start may extend the lease of everything that runs on the upstream.
     bool mayExtendLease(TimePoint now) const;
 
@@ -141,8 +147,6 @@
     UpstreamId upstream;
     UpstreamId avoid;
     std::string checkpoint;
-
-    bool isExpected(TimePoint now) const { return !expectedOn.empty() && now < expectedUntil; }
 };
 
 struct ShardEngine::Step {
--- a/libs/shards/src/ShardEngineEvacuation.cpp
+++ b/libs/shards/src/ShardEngineEvacuation.cpp
@@ -48,8 +48,8 @@
         for (const auto& step : job->steps) {
             waits = waits || step.waiting > 0;
             active = active || step.active > 0
-                || std::any_of(
-                    step.tasks.begin(), step.tasks.end(), [now](const Task& task) { return task.isExpected(now); });
+                || std::any_of(step.tasks.begin(), step.tasks.end(),
+                    [this, now](const Task& task) { return isExpected(task, now); });
         }
         for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
             for (std::uint32_t index = 0; index < job->steps[step].tasks.size(); ++index)
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -157,6 +157,22 @@
     return job.spec->durable || job.steps[key.step].tasks[key.index].expectedOn == upstream.info.id;
 }
 
+bool ShardEngine::isExpected(const Task& task, TimePoint now) const
+{
+    if (task.expectedOn.empty())
+        return false;
+    const auto upstream = upstreams_.find(task.expectedOn);
+    return now < task.expectedUntil || (upstream != upstreams_.end() && upstream->second.hidesEarlierEnds());
+}
+
+bool ShardEngine::mayStartInherited(TimePoint now) const
+{
+    // The runs of a lost owner are not known by upstream, so each upstream counts.
+    return now >= inheritedDelayedUntil_ && std::none_of(upstreams_.begin(), upstreams_.end(), [](const auto& entry) {
+        return entry.second.hidesEarlierEnds();
+    });
+}
+
 void ShardEngine::clearExpectedRuns(const UpstreamId& id)
 {
     for (auto& [key, job] : jobs_) {
--- a/libs/shards/src/ShardEngineUpstreams.cpp
+++ b/libs/shards/src/ShardEngineUpstreams.cpp
@@ -83,6 +83,7 @@
         handleRestart(upstream, now);
     if (report.startedUnixMs != 0)
         upstream.info.startedUnixMs = report.startedUnixMs;
+    upstream.hasUnlistedEnds = !report.complete;
     for (const auto& end : report.ended) {
         if (end.sequence <= upstream.lastEndHandled)
             continue;
@@ -119,7 +120,7 @@
         }
     }
     // A run that was confirmed before the report was requested, and that the report lists neither as running nor as
-    // ended, is lost.
+    // ended, is lost, unless its end may be one that the report does not list.
     std::vector<TaskKey> lostRuns;
     for (auto& [key, run] : upstream.runs) {
         const bool listed = std::any_of(report.running.begin(), report.running.end(),
@@ -138,9 +139,9 @@
             = run.state == RunState::Stopping && knownToExist && run.stopSentAt + stopTimeout <= sentAt;
         if (listed || (!wasRunning && run.state != RunState::Stopping))
             run.unlistedSince = TimePoint {};
-        else if (run.unlistedSince == TimePoint {} && existed)
+        else if (run.unlistedSince == TimePoint {} && existed && report.complete)
             run.unlistedSince = now;
-        if (!listed && graceOver && (wasRunning || presumedStopped))
+        if (!listed && report.complete && graceOver && (wasRunning || presumedStopped))
             lostRuns.push_back(key);
     }
     for (const auto& key : lostRuns) {
@@ -152,7 +153,8 @@
     retryRuns(upstream, lostRuns, now);
     if (upstream.firstReportAt == TimePoint {})
         upstream.firstReportAt = now;
-    const bool settled = confirmedByFirstReport_.erase(id) > 0 || sentAt >= upstream.firstReportAt + options_.stopGrace;
+    const bool settled = report.complete
+        && (confirmedByFirstReport_.erase(id) > 0 || sentAt >= upstream.firstReportAt + options_.stopGrace);
     if (!upstream.confirmed && settled) {
         upstream.confirmed = true;
         // The new fencing token invalidates all earlier starts, so an expected run that is not listed now does not
@@ -214,6 +216,7 @@
     }
     retryRuns(upstream, endedRuns, now);
     upstream.lastEndHandled = 0;
+    upstream.hasUnlistedEnds = false;
     upstream.coldSince = now;
     upstream.leaseEndsBy = TimePoint {};
     upstream.unrecorded.clear();
@@ -312,7 +315,8 @@
 bool ShardEngine::needsReport(const UpstreamId& id, TimePoint now) const
 {
     const auto found = upstreams_.find(id);
-    return found != upstreams_.end()
+    // While ends are not listed, reports are requested for their acknowledgement, and none decides about a run.
+    return found != upstreams_.end() && !found->second.hasUnlistedEnds
         && std::any_of(found->second.runs.begin(), found->second.runs.end(), [this, now](const auto& entry) {
                const auto& run = entry.second;
                const bool endDue = run.state == RunState::Running && run.checkAt <= now && run.listedAt < run.checkAt;
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -240,7 +240,7 @@
     const auto rack = rackFor(job, stepIndex, now);
     for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index) {
         auto& task = step.tasks[index];
-        if (task.state != Task::State::Waiting || now < task.notBefore || task.isExpected(now))
+        if (task.state != Task::State::Waiting || now < task.notBefore || isExpected(task, now))
             continue;
         // An earlier run of the task may still be in progress on an upstream.
         if (liveRuns_.contains(job.taskKey(stepIndex, index)))
@@ -262,7 +262,7 @@
     if (step.active > 0)
         return true;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        if (liveRuns_.contains(job.taskKey(stepIndex, index)) || step.tasks[index].isExpected(now))
+        if (liveRuns_.contains(job.taskKey(stepIndex, index)) || isExpected(step.tasks[index], now))
             return true;
     }
     const auto rack = rackFor(job, stepIndex, now);
@@ -317,11 +317,12 @@
 std::vector<ShardEngine::QueuedJob> ShardEngine::jobsInPlacementOrder(TimePoint now) const
 {
     std::vector<QueuedJob> order;
+    const bool inheritedMayStart = mayStartInherited(now);
     for (const auto& [key, job] : jobs_) {
         bool waits = false;
         for (std::uint32_t i = 0; i < job->steps.size(); ++i)
             waits = waits || stepIsReady(*job, i);
-        if (!waits || (job->inherited && now < inheritedDelayedUntil_) || !isOriginConfirmed(*job, now))
+        if (!waits || (job->inherited && !inheritedMayStart) || !isOriginConfirmed(*job, now))
             continue;
         // A long-running task is due from the moment its job was submitted.
         const bool runsIndefinitely = job->spec->longRunning;
--- a/libs/shards/tests/LostReportTests.cpp
+++ b/libs/shards/tests/LostReportTests.cpp
@@ -115,3 +115,98 @@
     REQUIRE_EQ(again.size(), 1);
     CHECK_GT(again.at(0).run, start.run);
 }
+
+namespace {
+
+// An upstream with a durable job of one task that has a confirmed run, and a report whose list of ends is full.
+struct FullListOfEnds {
+    EngineFixture fixture;
+    StartTask start;
+    std::vector<EndedTask> listed;
+
+    FullListOfEnds()
+    {
+        fixture.addUpstream(makeUpstream("u1"));
+        auto spec = makeSpec({ .id = "a", .estimateMs = 100 });
+        spec.durable = true;
+        fixture.engine.submitDurable({ .job = spec.id }, std::make_shared<const JobSpec>(spec), at(0));
+        start = fixture.scheduleAndTake<StartTask>(0).at(0);
+        fixture.confirmStart(start, 1);
+        for (std::uint64_t i = 1; i <= 3; ++i)
+            listed.push_back({ .sequence = i,
+                .task = { .job = JobId("other"), .index = static_cast<std::uint32_t>(i) },
+                .run = RunNumber(1),
+                .how = RunEnd::Done,
+                .checkpoint = {} });
+    }
+
+    UpstreamReport report(bool complete) const
+    {
+        return { .startedUnixMs = 1000, .running = {}, .ended = listed, .complete = complete };
+    }
+    std::size_t startsAt(int ms) { return fixture.scheduleAndTake<StartTask>(ms).size(); }
+};
+
+} // namespace
+
+// Guards against a second run of a finished task: its end was not among the 500 that the report listed.
+TEST_CASE("A run that only incomplete reports lack is not lost")
+{
+    FullListOfEnds scenario;
+    auto& engine = scenario.fixture.engine;
+    for (const int ms : { 150, 250, 350, 5'000 }) {
+        engine.handleReport(scenario.start.upstream, scenario.report(false), at(ms), at(ms + 1));
+        engine.advance(at(ms + 1));
+        CHECK_EQ(scenario.startsAt(ms + 1), 0);
+        CHECK(engine.isBusy(scenario.start.upstream));
+        // Reports are requested anyway until the list is complete.
+        CHECK_FALSE(engine.needsReport(scenario.start.upstream, at(ms + 1)));
+    }
+    scenario.listed.push_back({ .sequence = 4,
+        .task = scenario.start.task,
+        .run = scenario.start.run,
+        .how = RunEnd::Done,
+        .checkpoint = {} });
+    engine.handleReport(scenario.start.upstream, scenario.report(true), at(5'100), at(5'101));
+    CHECK_FALSE(engine.isBusy(scenario.start.upstream));
+    CHECK_EQ(scenario.startsAt(5'101), 0);
+}
+
+// Guards against a run that is never found lost.
+TEST_CASE("A run that complete reports lack is lost, also after incomplete ones")
+{
+    FullListOfEnds scenario;
+    auto& engine = scenario.fixture.engine;
+    engine.handleReport(scenario.start.upstream, scenario.report(false), at(150), at(151));
+    engine.handleReport(scenario.start.upstream, scenario.report(true), at(250), at(251));
+    CHECK_EQ(scenario.startsAt(251), 0);
+    engine.handleReport(scenario.start.upstream, scenario.report(true), at(310), at(311));
+    CHECK_EQ(scenario.startsAt(311), 1);
+}
+
+// Guards against a second run of a finished task after a planned change of the owner: the run was handed over, and its
+// end is not among those that the first reports to the new owner list.
+TEST_CASE("A run that was handed over is expected until a complete report, also beyond the time of its lease")
+{
+    FullListOfEnds before;
+    const auto exported = before.fixture.engine.exportJobs();
+    REQUIRE_EQ(exported.size(), 1);
+    EngineFixture next;
+    auto spec = makeSpec({ .id = "a", .estimateMs = 100 });
+    spec.durable = true;
+    next.engine.delayInheritedUntil(at(200));
+    next.engine.inheritDurable({ .job = spec.id }, std::make_shared<const JobSpec>(spec), at(0), exported[0].progress);
+    next.engine.expectRuns(exported[0].key, exported[0].expected, at(1'300));
+    next.engine.updateUpstream(makeUpstream("u1"), at(0));
+    next.engine.updateUpstream(makeUpstream("u2"), at(0));
+    for (const int ms : { 200, 300, 1'400, 1'500 }) {
+        next.engine.handleReport(UpstreamId("u1"), before.report(false), at(ms), at(ms + 1));
+        next.engine.handleReport(
+            UpstreamId("u2"), { .startedUnixMs = 1000, .running = {}, .ended = {} }, at(ms), at(ms + 1));
+        CHECK(next.scheduleAndTake<StartTask>(ms + 1).empty());
+        CHECK_FALSE(next.engine.isConfirmed(UpstreamId("u1")));
+    }
+    // If the upstream is gone, its lease alone decides.
+    next.engine.setReachable(UpstreamId("u1"), false, at(1'600));
+    CHECK_EQ(next.scheduleAndTake<StartTask>(1'600).size(), 1);
+}
--- a/libs/shards/tests/ResendProperties.cpp
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -75,6 +75,12 @@
     expectNoViolation({});
 }
 
+// Guards against deciding about a run by a report that lists only some of the ends.
+TEST_CASE("No task has two runs at a time over all shards when reports list one end at a time")
+{
+    expectNoViolation({ .maxListedEnds = 1 });
+}
+
 // Guards against a start that is sent again for a client that has left: its owner stood still for 2.8 s, and the
 // request was refused because of the owner's own raised fencing token.
 TEST_CASE("A start that was refused because of a raised token is not sent again after its client's resend delay")
--- a/libs/shards/tests/ResendSimulation.cpp
+++ b/libs/shards/tests/ResendSimulation.cpp
@@ -28,6 +28,7 @@
     world_.confirmation = options.confirmation;
     world_.clocksStand = options.clocksStand;
     world_.limitsLateGrants = options.limitsLateGrants;
+    world_.setMaxListedEnds(options.maxListedEnds);
     world_.traced = options.traced;
     for (int shard = 0; shard < SimulatedWorld::shardCount; ++shard)
         world_.records[shard] = { .epoch = 1, .owner = { .place = shard, .incarnation = 1 }, .handedOverBy = {} };
--- a/libs/shards/tests/ResendSimulation.h
+++ b/libs/shards/tests/ResendSimulation.h
@@ -13,6 +13,8 @@
         Confirmation confirmation { Confirmation::On };
         bool clocksStand { false };
         bool limitsLateGrants { true };
+        /// Maximum number of ends in a report of an upstream.
+        std::size_t maxListedEnds { 500 };
         bool traced { false };
     };
 
--- a/libs/shards/tests/ShardEngineProperties.cpp
+++ b/libs/shards/tests/ShardEngineProperties.cpp
@@ -8,8 +8,10 @@
 #include <algorithm>
 #include <cstdlib>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
+#include <utility>
 
 using namespace Balsammill;
 using namespace Balsammill::Shards;
@@ -32,15 +34,20 @@
         /// Upstreams restart under the same ids; no reports are requested from idle ones.
         bool restarts { false };
         StopDelivery stopDelivery { StopDelivery::Answered };
+        /// Maximum number of ends in a report; the store is away from time to time, so that more are unacknowledged.
+        std::optional<std::size_t> maxListedEnds {};
     };
 
     Simulation(unsigned seed, const Options& options)
         : random_(seed)
         , restarts_(options.restarts)
         , stopDelivery_(options.stopDelivery)
+        , storeOutages_(options.maxListedEnds.has_value())
     {
-        for (int i = 0; i < 4; ++i)
-            upstreams_[UpstreamId("u" + std::to_string(i))] = {};
+        for (int i = 0; i < 4; ++i) {
+            auto& upstream = upstreams_[UpstreamId("u" + std::to_string(i))];
+            upstream.maxListedEnds = options.maxListedEnds.value_or(upstream.maxListedEnds);
+        }
         replaceOwner();
     }
 
@@ -68,6 +75,8 @@
             owner_->schedule(at(now_));
             applyActions();
         }
+        if (violation_.empty() && storeOutages_)
+            checkAllEndsAcknowledged();
         return violation_;
     }
 
@@ -182,6 +191,10 @@
     // Completes the journal writes whose delay is over.
     void completeJournalWrites()
     {
+        if (storeOutages_ && randomOneIn(200))
+            storeAwayUntil_ = now_ + 100 + static_cast<int>(random_() % 900);
+        if (now_ < storeAwayUntil_)
+            return;
         for (auto it = journalWrites_.begin(); it != journalWrites_.end();) {
             if (it->second > now_) {
                 ++it;
@@ -347,6 +360,27 @@
             id, upstream.report(owner_->lastEndToAcknowledge(id), sameIncarnation), at(now_), at(now_));
     }
 
+    // Once the store answers again, reports alone have to bring the acknowledgement of every end.
+    void checkAllEndsAcknowledged()
+    {
+        const auto until = now_ + 3'000;
+        for (; now_ < until; now_ += 5) {
+            endTasks();
+            for (auto& [id, upstream] : upstreams_)
+                exchangeReport(id, upstream);
+            // No new starts toward the end, so that the last ends can be listed and recorded.
+            if (now_ + 1'500 < until)
+                owner_->schedule(at(now_));
+            applyActions();
+            for (const auto& [change, writtenAt] : std::exchange(journalWrites_, {}))
+                owner_->handleRecorded(change.job, change.mark);
+        }
+        for (const auto& [id, upstream] : upstreams_) {
+            if (!upstream.ended.empty() && tokenFor(id) >= upstream.fencingToken)
+                violation_ = std::to_string(upstream.ended.size()) + " ends of " + id.value + " are not acknowledged";
+        }
+    }
+
     // A durable task may start again after it was done only if that end is not acknowledged, or was still
     // unacknowledged when the lease expired, or was dropped before an owner saw it.
     void checkRepeatedRuns()
@@ -361,10 +395,9 @@
         }
     }
 
-    // True if a report of the upstream lists the run as running or ended.
-    bool reportListsRun(const StartTask& start)
+    // True if the report lists the run as running or ended.
+    static bool listsRun(const UpstreamReport& report, const StartTask& start)
     {
-        const auto report = upstreams_.at(start.upstream).report(0);
         const auto matches = [&](const auto& each) { return each.task == start.task && each.run == start.run; };
         return std::any_of(report.running.begin(), report.running.end(), matches)
             || std::any_of(report.ended.begin(), report.ended.end(), matches);
@@ -381,10 +414,16 @@
                 continue;
             }
             const auto start = it->first;
-            it = unansweredStarts_.erase(it);
+            auto& upstream = upstreams_.at(start.upstream);
             tokens_.at(start.upstream).raise();
-            exchangeReport(start.upstream, upstreams_.at(start.upstream));
-            if (!reportListsRun(start))
+            exchangeReport(start.upstream, upstream);
+            const auto report = upstream.report(0);
+            if (!report.complete) {
+                ++it;
+                continue;
+            }
+            it = unansweredStarts_.erase(it);
+            if (!listsRun(report, start))
                 owner_->handleUnlistedStart(start.upstream, start.task, start.run, at(now_));
         }
     }
@@ -401,6 +440,8 @@
     std::mt19937 random_;
     bool restarts_;
     StopDelivery stopDelivery_;
+    bool storeOutages_;
+    int storeAwayUntil_ { 0 };
     std::map<OccurrenceKey, Durable> durable_;
     // Journal writes in flight, with the time at which they complete.
     std::vector<std::pair<ProgressChanged, int>> journalWrites_;
@@ -469,3 +510,12 @@
 {
     runSchedules({ .stopDelivery = Simulation::StopDelivery::SometimesLost });
 }
+
+// Guards against repeated runs of finished tasks: an upstream lists a limited number of ends, and a run whose end is
+// beyond them is in neither list of a report. Ends pile up while the store is away.
+TEST_CASE("With reports that list only some of the ends, no task runs again after its end, and all are acknowledged")
+{
+    runSchedules({ .maxListedEnds = 2 });
+    runSchedules({ .stopDelivery = Simulation::StopDelivery::SometimesLost, .maxListedEnds = 2 });
+    runSchedules({ .restarts = true, .maxListedEnds = 2 });
+}
--- a/libs/shards/tests/SimulatedSession.cpp
+++ b/libs/shards/tests/SimulatedSession.cpp
@@ -21,6 +21,7 @@
 constexpr int stopMargin = 10;
 constexpr int initialRetryDelay = 50;
 constexpr int maxRetryDelay = 400;
+constexpr int incompleteReportInterval = 50;
 
 int toMs(Duration duration)
 {
@@ -243,6 +244,8 @@
         [this](Answer answer, const UpstreamResponse* response, const SentRequest& sent) {
             checkOutstanding_ = false;
             if (answer == Answer::Usable) {
+                if (!response->report.complete)
+                    checkRetryAt_ = process_.now() + incompleteReportInterval;
                 handleReport(*response, sent);
                 return;
             }
@@ -301,7 +304,7 @@
             pollOutstanding_ = false;
         engine_.handleReport(id_, response.report, at(sent.sentAt), now);
         std::erase_if(startsInDoubt_, [&](const StartInDoubt& start) {
-            if (sent.token < start.resolvedFrom)
+            if (!response.report.complete || sent.token < start.resolvedFrom)
                 return false;
             const auto& running = response.report.running;
             if (std::none_of(running.begin(), running.end(),
@@ -309,7 +312,7 @@
                 engine_.handleUnlistedStart(id_, start.task, start.run, now);
             return true;
         });
-        if (sent.afterExpiry) {
+        if (response.report.complete && sent.afterExpiry) {
             expiryReported_ = leaseExpired();
             engine_.handleLeaseExpired(id_, response.report, at(sent.sentAt), now);
         }
--- a/libs/shards/tests/SimulatedUpstream.cpp
+++ b/libs/shards/tests/SimulatedUpstream.cpp
@@ -18,9 +18,10 @@
 
 void SimulatedUpstream::restart()
 {
-    const auto before = startedUnixMs;
-    *this = {};
-    startedUnixMs = before + 1;
+    SimulatedUpstream next;
+    next.startedUnixMs = startedUnixMs + 1;
+    next.maxListedEnds = maxListedEnds;
+    *this = next;
 }
 
 UpstreamReport SimulatedUpstream::report(std::uint64_t acknowledged, bool ofThisIncarnation)
@@ -33,6 +34,9 @@
         each.acknowledged = each.acknowledged || forgotten;
     }
     UpstreamReport report { .startedUnixMs = startedUnixMs, .running = {}, .ended = ended };
+    // As in the decoder of reports: a full list may lack ends.
+    report.complete = ended.size() < maxListedEnds;
+    report.ended.resize(std::min(ended.size(), maxListedEnds));
     for (const auto& each : running) {
         if (each.stopEffectiveAt == 0)
             report.running.push_back({ .task = each.task, .run = each.run, .checkpoint = {} });
--- a/libs/shards/tests/SimulatedUpstream.h
+++ b/libs/shards/tests/SimulatedUpstream.h
@@ -25,6 +25,8 @@
     std::vector<Running> running;
     std::map<TaskKey, RunNumber> highestRuns;
     std::vector<EndedTask> ended;
+    /// Maximum number of ends in a report.
+    std::size_t maxListedEnds { 500 };
     std::uint64_t lastSequence { 0 };
     int leaseUntil { 0 };
     /// Runs that ended as done, whether their ends are still listed or not.
--- a/libs/shards/tests/SimulatedWorld.cpp
+++ b/libs/shards/tests/SimulatedWorld.cpp
@@ -22,6 +22,12 @@
         traces[job] += std::to_string(now) + " " + text + "\n";
 }
 
+void SimulatedWorld::setMaxListedEnds(std::size_t count)
+{
+    for (auto& host : hosts_)
+        host.state.maxListedEnds = count;
+}
+
 void SimulatedWorld::advanceUpstreams()
 {
     for (int i = 0; i < upstreamCount; ++i) {
--- a/libs/shards/tests/SimulatedWorld.h
+++ b/libs/shards/tests/SimulatedWorld.h
@@ -94,6 +94,7 @@
     static UpstreamId upstreamId(int upstream) { return UpstreamId("u" + std::to_string(upstream)); }
     static int upstreamIndex(const UpstreamId& id) { return std::stoi(id.value.substr(1)); }
     void trace(const JobId& job, const std::string& text);
+    void setMaxListedEnds(std::size_t);
 
     std::mt19937 random;
     int now { 0 };
