End a stopped entry only once nothing waits for it

Cause: finishDraining() noted at one tick that no request was open and stopped the loop at the next one without looking again. Requests read in between were cut. Idle connections stayed open until the end, so clients kept using them.

Change: the entry ends once no client connection is left on which a request can be received, is in progress or has an unwritten response, it owns no shard, and no connection to another entry has unread or unwritten bytes, or when its grace period is over. Once it is out of rotation it closes connections that are idle and have no unread bytes. It accepts what the system has established before it ends. Requests that were sent in advance are answered, and the socket of the last response stays open until its client has closed it, for 0.5 s at most.

--- a/libs/http/include/balsammill/http/HttpServer.h
+++ b/libs/http/include/balsammill/http/HttpServer.h
@@ -69,9 +69,17 @@
     /// one, or else the one whose client has not read its response for the longest time; first those of a client
     /// address that holds more than half of all connections.
     void setBudget(const HttpServerBudget&, std::function<void(HttpBudgetLimit)> exceeded = {});
-    /// Starts graceful shutdown: every further response closes its connection. New connections are still served until
-    /// the load balancer stops sending them.
+    /// Starts graceful shutdown: every further response closes its connection, unless the client has already sent its
+    /// next request. New connections are still served until the load balancer stops sending them.
     void drain();
+    /// Closes connections that have been idle since this time or longer. One with unread bytes stays: its request is
+    /// answered first.
+    void closeIdle(TimePoint idleBefore);
+    /// Accepts the connections that are already established, and none after them.
+    void stopAccepting();
+    /// True if no connection is left on which a request can be received, is in progress or has a response that is not
+    /// written completely.
+    bool isQuiet() const;
     /// Number of requests received but not yet responded to.
     std::size_t openRequests() const;
     std::size_t openConnections() const;
@@ -82,6 +90,7 @@
     class Session;
     struct Shared;
     void accept();
+    void open(boost::asio::ip::tcp::socket);
 
     boost::asio::ip::tcp::acceptor acceptor_;
     std::unique_ptr<Timer> acceptTimer_;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -5,10 +5,12 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 
 namespace Balsammill {
 
@@ -27,6 +29,9 @@
 constexpr std::size_t parsedHeadFactor = 20;
 // Retry-After of a request that has to wait for memory.
 constexpr auto budgetRetryAfterSeconds = "1";
+// After the last response on a connection, received bytes are discarded for up to this long. If the socket were closed
+// with unread bytes, the connection would be reset and the client could lose the response.
+constexpr Duration lingerTimeout = std::chrono::milliseconds(500);
 // Delay before connections are accepted again after an error, such as a lack of descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -59,6 +64,7 @@
     HttpHandler handler;
     HttpServerLimits limits;
     bool draining { false };
+    bool accepting { true };
     bool stopped { false };
     std::size_t openRequests { 0 };
     std::unordered_set<Session*> sessions;
@@ -108,7 +114,10 @@
         handling_ = false;
         abandonedCallback_ = nullptr;
         --shared_->openRequests;
-        closeAfterWrite_ = closeAfterWrite_ || shared_->draining;
+        // A request that the client has sent in advance gets its answer too.
+        if (shared_->draining && unparsedBytes_.empty() && !hasUnreadBytes())
+            closeAfterWrite_ = true;
+        lingerAfterWrite_ = closeAfterWrite_;
         responseBytes_ = serialize(response, closeAfterWrite_);
         bytesWritten_ = 0;
         requestBytes_ = 0;
@@ -121,13 +130,18 @@
 
     bool hasClientLeft() override
     {
-        error_code error;
-        char byte = 0;
-        socket_.non_blocking(true, error);
-        socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        const auto error = peek();
         return error && error != asio::error::would_block;
     }
 
+    bool hasUnreadBytes() { return !peek(); }
+
+    /// True if nothing of a request was received and no response is being sent.
+    bool isIdle() { return !closed_ && !handling_ && !requestStarted_ && responseBytes_.empty() && !hasUnreadBytes(); }
+    TimePoint idleSince() const { return idleSince_; }
+    /// True if the last response was sent; the connection stays open only for the client to read it.
+    bool isFinished() const { return closed_ || lingering_; }
+
     void close()
     {
         if (closed_)
@@ -146,6 +160,16 @@
     }
 
 private:
+    // The error of a read: none if there are bytes to read.
+    error_code peek()
+    {
+        error_code error;
+        char byte = 0;
+        socket_.non_blocking(true, error);
+        socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error;
+    }
+
     void forget()
     {
         shared_->connections.remove(id_);
@@ -172,6 +196,7 @@
         parser_->body_limit(shared_->limits.maxBodyBytes);
         headBytes_ = 0;
         requestStarted_ = false;
+        idleSince_ = monotonicNow();
         armTimer(shared_->limits.idleTimeout);
     }
 
@@ -204,6 +229,10 @@
                     self->close();
                     return;
                 }
+                if (self->lingering_) {
+                    self->read();
+                    return;
+                }
                 self->unparsedBytes_.append(self->readBuffer_.data(), count);
                 self->parse();
                 self->account();
@@ -336,7 +365,10 @@
         if (closeAfterWrite_) {
             error_code ignored;
             socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-            close();
+            if (lingerAfterWrite_)
+                linger();
+            else
+                close();
             return;
         }
         beginRequest();
@@ -345,6 +377,16 @@
         read();
     }
 
+    void linger()
+    {
+        lingering_ = true;
+        unparsedBytes_.clear();
+        shared_->connections.setState(id_, Detail::ConnectionTable::State::Idle);
+        account();
+        armTimer(lingerTimeout);
+        read();
+    }
+
     asio::ip::tcp::socket socket_;
     Timer timer_;
     std::shared_ptr<Shared> shared_;
@@ -359,11 +401,15 @@
     std::string responseBytes_;
     std::size_t bytesWritten_ { 0 };
     std::function<void()> abandonedCallback_;
+    // When the last request was answered, or the connection accepted.
+    TimePoint idleSince_ {};
     bool handling_ { false };
     bool reading_ { false };
     bool requestStarted_ { false };
     bool continueSent_ { false };
     bool closeAfterWrite_ { false };
+    bool lingerAfterWrite_ { false };
+    bool lingering_ { false };
     bool closed_ { false };
 };
 
@@ -418,20 +464,56 @@
         if (error) {
             acceptTimer_->expires_after(acceptRetryDelay);
             acceptTimer_->async_wait([this, shared](error_code timerError) {
-                if (!timerError && !shared->stopped)
+                if (!timerError && !shared->stopped && shared->accepting)
                     accept();
             });
             return;
         }
-        error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        shared->makeRoom();
-        std::make_shared<Session>(std::move(socket), shared)->start();
-        shared->enforceBudget();
-        accept();
+        open(std::move(socket));
+        if (shared->accepting)
+            accept();
     });
 }
 
+void HttpServer::open(asio::ip::tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    shared_->makeRoom();
+    std::make_shared<Session>(std::move(socket), shared_)->start();
+    shared_->enforceBudget();
+}
+
+void HttpServer::stopAccepting()
+{
+    if (!std::exchange(shared_->accepting, false))
+        return;
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        auto socket = acceptor_.accept(error);
+        if (!error)
+            open(std::move(socket));
+    }
+    acceptTimer_->cancel();
+    acceptor_.close(error);
+}
+
+void HttpServer::closeIdle(TimePoint idleBefore)
+{
+    const auto sessions = shared_->sessions;
+    for (auto* session : sessions) {
+        if (session->idleSince() <= idleBefore && session->isIdle())
+            session->close();
+    }
+}
+
+bool HttpServer::isQuiet() const
+{
+    return std::all_of(shared_->sessions.begin(), shared_->sessions.end(),
+        [](const Session* session) { return session->isFinished(); });
+}
+
 void HttpServer::setBudget(const HttpServerBudget& budget, std::function<void(HttpBudgetLimit)> exceeded)
 {
     shared_->connections.setBudget(budget);
--- a/libs/http/tests/HttpTests.cpp
+++ b/libs/http/tests/HttpTests.cpp
@@ -206,3 +206,112 @@
     CHECK(ended);
     CHECK_EQ(server.openConnections(), 0);
 }
+
+namespace {
+
+// A server that answers each request at once, and a client whose bytes are read by the test.
+struct RawClient {
+    asio::io_context loop;
+    int requests { 0 };
+    HttpServer server { loop, NetworkAddress("127.0.0.1:0"),
+        [this](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+            ++requests;
+            exchange->respond({ .status = 200, .fields = {}, .body = {} });
+        } };
+    asio::ip::tcp::socket socket { loop };
+    std::string received;
+    bool ended { false };
+
+    RawClient() { socket.connect(parseEndpoint(server.localAddress())); }
+
+    void send(int count)
+    {
+        std::string text;
+        for (int i = 0; i < count; ++i)
+            text += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+    }
+    void read()
+    {
+        socket.async_read_some(asio::buffer(block_), [this](boost::system::error_code error, std::size_t count) {
+            received.append(block_.data(), count);
+            ended = ended || error == asio::error::eof;
+            if (!error)
+                read();
+        });
+    }
+    std::size_t responses() const
+    {
+        std::size_t found = 0;
+        for (auto at = received.find("HTTP/1.1 200"); at != std::string::npos;
+             at = received.find("HTTP/1.1 200", at + 1))
+            ++found;
+        return found;
+    }
+
+private:
+    std::array<char, 4096> block_ {};
+};
+
+} // namespace
+
+// Guards against a request that has been received and gets no answer, because its connection was idle so far.
+TEST_CASE("Only idle connections without unread bytes are closed")
+{
+    RawClient client;
+    REQUIRE(runUntil(client.loop, [&] { return client.server.openConnections() == 1; }));
+    client.send(1);
+    client.server.closeIdle(monotonicNow());
+    client.read();
+    CHECK(runUntil(client.loop, [&] { return client.responses() == 1; }));
+    client.server.closeIdle(monotonicNow() - 1h);
+    CHECK_FALSE(client.server.isQuiet());
+    client.server.closeIdle(monotonicNow());
+    CHECK(client.server.isQuiet());
+    CHECK(runUntil(client.loop, [&] { return client.ended; }));
+}
+
+// Guards against dropping a request that was read together with the one before it.
+TEST_CASE("While a server drains, requests that were sent in advance are answered before the connection closes")
+{
+    RawClient client;
+    client.server.drain();
+    client.send(3);
+    client.read();
+    CHECK(runUntil(client.loop, [&] { return client.ended; }));
+    CHECK_EQ(client.responses(), 3);
+    CHECK_EQ(client.received.find("Connection: close"), client.received.rfind("Connection: close"));
+    CHECK_NE(client.received.find("Connection: close"), std::string::npos);
+}
+
+// Guards against a reset that destroys the last response: the client has sent more bytes, and the socket is closed
+// before they are read.
+TEST_CASE("After the last response, a connection is closed once its client has closed it")
+{
+    RawClient client;
+    client.server.drain();
+    client.send(1);
+    REQUIRE(runUntil(client.loop, [&] { return client.server.isQuiet() && client.requests == 1; }));
+    CHECK_EQ(client.server.openConnections(), 1);
+    client.send(1);
+    client.read();
+    CHECK(runUntil(client.loop, [&] { return client.ended; }));
+    CHECK_EQ(client.responses(), 1);
+    CHECK_EQ(client.requests, 1);
+    client.socket.close();
+    CHECK(runUntil(client.loop, [&] { return client.server.openConnections() == 0; }));
+}
+
+// Guards against a connection that the system has accepted and the process has not: its client would wait in vain.
+TEST_CASE("A server that stops accepting serves the connections that are already established")
+{
+    RawClient client;
+    client.send(1);
+    client.server.stopAccepting();
+    client.read();
+    CHECK(runUntil(client.loop, [&] { return client.responses() == 1; }));
+    asio::ip::tcp::socket late(client.loop);
+    boost::system::error_code error;
+    late.connect(client.socket.remote_endpoint(), error);
+    CHECK(error == asio::error::connection_refused);
+}
--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -22,8 +22,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <set>
+#include <utility>
 
 namespace Balsammill {
 
@@ -31,9 +33,13 @@
 
 // The platform polls readiness once a second and removes a node from rotation after two failures.
 constexpr Duration rotationDelay = std::chrono::milliseconds(2500);
-// Part of the shutdown time that is reserved for process exit: several times what two ticks and the last responses
-// take.
+// Part of the shutdown time that is reserved for the answers to abandoned requests and for process exit.
 constexpr Duration exitMargin = std::chrono::milliseconds(700);
+// Part of the shutdown time that is reserved for process exit: the log is flushed, and processes need some time to end.
+constexpr Duration processEndMargin = std::chrono::milliseconds(350);
+// An idle client connection is closed by a process that is stopped once it has been idle for this long, so that one
+// that was just accepted can send its request.
+constexpr Duration minIdleBeforeClose = std::chrono::milliseconds(250);
 // Part of the shutdown time that is reserved for releasing shards that no other entry has taken over.
 constexpr Duration releaseMargin = std::chrono::milliseconds(1200);
 // Minimum interval between reads of the shard table, so that renewals are read in batches.
@@ -94,7 +100,7 @@
     TimePoint statusAt {};
     TimePoint drainingSince {};
     bool draining { false };
-    bool exitNextTick { false };
+    bool accepting { true };
     bool ready { false };
 
     Detail(const NodeSettings& settings, const NodeOptions& nodeOptions)
@@ -573,17 +579,29 @@
 
     void finishDraining(TimePoint now)
     {
-        const bool idle = clientServer.openRequests() == 0 && ownership.ownsNothing();
-        const bool outOfRotation = now - drainingSince >= rotationDelay;
-        const auto stopAt = drainingSince + context.settings.shutdownGrace - exitMargin;
-        if (now >= stopAt) {
+        const auto abandonAt = drainingSince + context.settings.shutdownGrace - exitMargin;
+        const auto endAt = drainingSince + context.settings.shutdownGrace - processEndMargin;
+        if (now >= abandonAt && jobs.openRequests() > 0) {
             log.event("process.abandons_requests", { { "requests", std::uint64_t { jobs.openRequests() } } });
             jobs.abandonAll();
         }
-        // Waits one more tick so that the last responses are sent.
-        if (exitNextTick)
-            loop.stop();
-        exitNextTick = (idle && outOfRotation) || now >= stopAt;
+        if (now < std::min(drainingSince + rotationDelay, abandonAt))
+            return;
+        clientServer.closeIdle(now - minIdleBeforeClose);
+        if (now < endAt && !isQuiet(now >= abandonAt))
+            return;
+        // The connections that were established until now are served first.
+        if (now < endAt && std::exchange(accepting, false)) {
+            clientServer.stopAccepting();
+            return;
+        }
+        loop.stop();
+    }
+
+    // True if no client and no entry waits for anything from this process.
+    bool isQuiet(bool mayKeepShards) const
+    {
+        return clientServer.isQuiet() && (mayKeepShards || ownership.ownsNothing()) && !peers.hasPendingBytes();
     }
 };
 
--- a/libs/node/src/peers/PeerLink.cpp
+++ b/libs/node/src/peers/PeerLink.cpp
@@ -171,6 +171,17 @@
         confirmedAt_ = std::max(confirmedAt_, sentAtEpoch_ + std::chrono::milliseconds(echoedMs));
 }
 
+bool PeerLink::hasPendingBytes()
+{
+    if (!open_)
+        return !outputBuffer_.empty();
+    error_code error;
+    char byte = 0;
+    socket_.non_blocking(true, error);
+    socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return !error || !inputBuffer_.empty() || !outputBuffer_.empty() || !writeBuffer_.empty();
+}
+
 void PeerLink::close(CloseReason reason)
 {
     if (closed_)
--- a/libs/node/src/peers/PeerLink.h
+++ b/libs/node/src/peers/PeerLink.h
@@ -58,6 +58,8 @@
     bool open() const { return open_; }
     bool closed() const { return closed_; }
     std::uint64_t sentBytes() const { return sentBytes_; }
+    /// True if output is not written completely, or received bytes have not been handled.
+    bool hasPendingBytes();
     TimePoint lastReceivedAt() const { return lastReceivedAt_; }
     /// Latest time at which the other process is known to have used this connection: it had received a message that
     /// this process sent then. Unlike lastReceivedAt(), it does not advance by messages that were delayed in the
--- a/libs/node/src/peers/PeerNetwork.cpp
+++ b/libs/node/src/peers/PeerNetwork.cpp
@@ -188,6 +188,12 @@
     return sum;
 }
 
+bool PeerNetwork::hasPendingBytes() const
+{
+    const auto links = openLinks();
+    return std::any_of(links.begin(), links.end(), [](const auto& link) { return link->hasPendingBytes(); });
+}
+
 void PeerNetwork::handleClosed(PeerLink& closedLink, CloseReason reason)
 {
     countSent(closedLink, closedLinksSentBytes_);
--- a/libs/node/src/peers/PeerNetwork.h
+++ b/libs/node/src/peers/PeerNetwork.h
@@ -54,6 +54,8 @@
     bool connectedTo(const PeerId& peer) const { return linkOf(peer) != nullptr; }
     void sendToAll(const balsammill::internal::ShardPeerMessage&);
     SentBytes sentBytes() const;
+    /// True if a message on an open connection has not been handled, or has not been written completely.
+    bool hasPendingBytes() const;
 
 private:
     struct Outbound {
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -193,6 +193,13 @@
     return request(entry, "POST", "/check/" + id, submission(tasks, milliCores, extraFields));
 }
 
+std::string Fleet::durableSubmission(const std::string& id, int tasks, int milliCores) const
+{
+    const auto body = submission(tasks, milliCores, {});
+    return "POST /check/" + id + " HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
 std::string Fleet::stateOf(std::size_t entry, const std::string& id) const
 {
     const auto answer = request(entry, "GET", "/check/" + id, "");
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -69,6 +69,8 @@
     /// Submits a durable job, which is answered as soon as it is stored.
     ClientAnswer submitDurable(std::size_t entry, const std::string& id, int tasks, int milliCores = 10'000,
         const std::string& extraFields = {}) const;
+    /// The text of the HTTP request that submitDurable() sends.
+    std::string durableSubmission(const std::string& id, int tasks, int milliCores) const;
     /// State of a durable job, or the HTTP status as text if it is not 200.
     std::string stateOf(std::size_t entry, const std::string& id) const;
     /// Asks the entries in turn, for up to 30 s, until one reports this state.
