Count an upstream's own leases before its hidden ends are given up

Inherited tasks that may have ended beyond the list of an upstream waited only while it was reachable. A single answer that is late makes it unreachable for some milliseconds, while a lease that the new owner has granted goes on, so that a task could start a second time in that moment.

Change: such ends count until the list is complete, or the upstream does not answer and every lease granted to it is over.

--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -108,9 +108,12 @@
         }) || std::any_of(unrecorded.begin(), unrecorded.end(), [](const auto& end) { return !end.leaseLapsed; });
     }
 
-    // True if runs of earlier owners may have ended without this owner knowing it yet. An upstream that does not answer
-    // does not count: then the leases decide.
-    bool hidesEarlierEnds() const { return registered && reachable && !confirmed && hasUnlistedEnds; }
+    // True if runs of earlier owners may have ended without this owner knowing it yet. Of an upstream that does not
+    // answer, they no longer matter once its leases are over.
+    bool hidesEarlierEnds(TimePoint now) const
+    {
+        return registered && !confirmed && hasUnlistedEnds && (reachable || now < leaseEndsBy);
+    }
 
     // True if a start may extend the lease of everything that runs on the upstream.
     bool mayExtendLease(TimePoint now) const;
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -162,15 +162,15 @@
     if (task.expectedOn.empty())
         return false;
     const auto upstream = upstreams_.find(task.expectedOn);
-    return now < task.expectedUntil || (upstream != upstreams_.end() && upstream->second.hidesEarlierEnds());
+    return now < task.expectedUntil || (upstream != upstreams_.end() && upstream->second.hidesEarlierEnds(now));
 }
 
 bool ShardEngine::mayStartInherited(TimePoint now) const
 {
     // The runs of a lost owner are not known by upstream, so each upstream counts.
-    return now >= inheritedDelayedUntil_ && std::none_of(upstreams_.begin(), upstreams_.end(), [](const auto& entry) {
-        return entry.second.hidesEarlierEnds();
-    });
+    return now >= inheritedDelayedUntil_
+        && std::none_of(upstreams_.begin(), upstreams_.end(),
+            [now](const auto& entry) { return entry.second.hidesEarlierEnds(now); });
 }
 
 void ShardEngine::clearExpectedRuns(const UpstreamId& id)
--- a/libs/shards/tests/LostReportTests.cpp
+++ b/libs/shards/tests/LostReportTests.cpp
@@ -206,7 +206,9 @@
         CHECK(next.scheduleAndTake<StartTask>(ms + 1).empty());
         CHECK_FALSE(next.engine.isConfirmed(UpstreamId("u1")));
     }
-    // If the upstream is gone, its lease alone decides.
+    // If the upstream does not answer, the lease that this owner has granted decides.
+    next.engine.noteLease(UpstreamId("u1"), at(2'000));
     next.engine.setReachable(UpstreamId("u1"), false, at(1'600));
-    CHECK_EQ(next.scheduleAndTake<StartTask>(1'600).size(), 1);
+    CHECK(next.scheduleAndTake<StartTask>(1'999).empty());
+    CHECK_EQ(next.scheduleAndTake<StartTask>(2'001).size(), 1);
 }
