Test with real processes which ends are acknowledged and which tasks run again

No test of ours ran an upstream with more than 500 ends, since the stand-in listed all of them, against its published protocol.

Change: the stand-in lists 500 ends at a time and counts those that no owner has acknowledged. The soak cancels stored jobs while they run, and demands that all ends are acknowledged in the end.

--- a/standin/operators/OperatorUpstream.cpp
+++ b/standin/operators/OperatorUpstream.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::int64_t maxLeaseMs = 1000;
+// Ends beyond these are listed once these have been acknowledged.
+constexpr std::size_t maxEndsPerReport = 500;
 
 std::string replyBody(std::int64_t clockMs, const std::string& reason)
 {
@@ -126,6 +128,11 @@
     return loop_.run([&] { return static_cast<int>(runs_.size()); });
 }
 
+std::size_t OperatorUpstream::unacknowledgedEnds()
+{
+    return loop_.run([&] { return endedRuns_.size(); });
+}
+
 int OperatorUpstream::starts()
 {
     return loop_.run([&] { return starts_; });
@@ -247,7 +254,8 @@
     writer.EndArray();
     writer.Key("ended");
     writer.StartArray();
-    for (const auto& each : endedRuns_) {
+    for (std::size_t i = 0; i < std::min(endedRuns_.size(), maxEndsPerReport); ++i) {
+        const auto& each = endedRuns_[i];
         writer.StartArray();
         writer.Uint64(each.sequence);
         writer.String(each.task.c_str());
--- a/standin/operators/OperatorUpstream.h
+++ b/standin/operators/OperatorUpstream.h
@@ -76,6 +76,8 @@
     void ignoreCurrentOwner();
     /// Number of runs in progress.
     int activeRuns();
+    /// Number of ends that no owner has acknowledged.
+    std::size_t unacknowledgedEnds();
     /// Number of tasks that were started here.
     int starts();
 
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -306,6 +306,14 @@
     loop_.run([this] { registry_.forbidRestartAfterCompletion = true; });
 }
 
+std::size_t Fleet::unacknowledgedEnds()
+{
+    std::size_t ends = 0;
+    for (const auto& upstream : upstreams_)
+        ends += upstream->unacknowledgedEnds();
+    return ends;
+}
+
 int Fleet::activeRuns()
 {
     return loop_.run([this] {
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -103,6 +103,8 @@
     void forbidRepeatedTasks();
     /// Number of runs in progress on all upstreams.
     int activeRuns();
+    /// Number of ends on all upstreams that no owner has acknowledged.
+    std::size_t unacknowledgedEnds();
     /// Number of runs that upstreams ended because the lease had expired.
     int expiredRuns();
     std::vector<std::string> logFiles() const;
--- a/tests/soak/NodeSoak.cpp
+++ b/tests/soak/NodeSoak.cpp
@@ -69,6 +69,20 @@
     }
 }
 
+// Submits durable jobs and cancels them while their tasks run.
+void runCancellingClient(const Fleet& fleet, unsigned seed, const std::atomic<bool>& stopping)
+{
+    std::mt19937 random(seed);
+    for (int i = 0; !stopping; ++i) {
+        const auto id = jobId(5'000'000 + i);
+        const auto entry = random() % fleet.entryCount();
+        const auto accepted = fleet.submitDurable(entry, id, 4, 2'000).status == 200;
+        std::this_thread::sleep_for(accepted ? std::chrono::milliseconds(random() % 120) : refusedClientDelay);
+        if (accepted)
+            fleet.request(entry, "DELETE", "/check/" + id, "");
+    }
+}
+
 // Asks for the number of waiting jobs on one connection until the entry closes it or its process is gone.
 void runPersistentClient(const Fleet& fleet, std::size_t entry, const std::atomic<bool>& stopping, JobCounts& jobs)
 {
@@ -242,6 +256,7 @@
         clients.emplace_back([&, client] { runClient(fleet, client, stopping, jobs); });
     for (int client = 6; client < 9; ++client)
         clients.emplace_back([&, client] { runDurableClient(fleet, client, stopping, durable); });
+    clients.emplace_back([&] { runCancellingClient(fleet, seed, stopping); });
     for (std::size_t entry = 0; entry < fleet.entryCount(); ++entry)
         clients.emplace_back([&, entry] { runPersistentClient(fleet, entry, stopping, jobs); });
     OpenFaults open;
@@ -261,7 +276,9 @@
     stopping = true;
     for (auto& client : clients)
         client.join();
-    const auto violations = fleet.violations() + checkDurable(fleet, durable);
+    auto violations = fleet.violations() + checkDurable(fleet, durable);
+    if (!waitUntil(in(20s), [&] { return fleet.unacknowledgedEnds() == 0; }))
+        violations += std::to_string(fleet.unacknowledgedEnds()) + " ends are not acknowledged\n";
     std::cout << "seed " << seed << ": " << faults << " faults, " << jobs.completed << " jobs completed, "
               << jobs.unanswered << " without a final answer, " << durable.accepted.size() << " stored, "
               << durable.refused.size() << " refused, " << jobs.queries << " queries on open connections, "
