Log and count configurations that are requested from and sent to peers

The log showed only adoptions, so copies from peers that crowd each other out could not be told from calls to the store that time out, or from a missed change. config.requested, config.sent and two counters show who was asked for what and when; config.adopted gives the size.

No logic is changed.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -241,7 +241,8 @@
             front.setQueues(queues);
             log.event("config.adopted",
                 { { "version", queues->config().version.value }, { "source", source },
-                    { "queues", std::uint64_t { queues->config().queues.size() } } });
+                    { "queues", std::uint64_t { queues->config().queues.size() } },
+                    { "bytes", std::uint64_t { document.size() } } });
         } catch (const Platform::FormatError& error) {
             log.event("config.rejected", { { "source", source }, { "reason", error.what() } });
         }
@@ -386,6 +387,10 @@
             configBehindSince = now;
         if (now - configBehindSince < configFetchDelay)
             return;
+        log.event("config.requested",
+            { { "peer", from.peer().vm.value }, { "version", status.config_version() },
+                { "behind_ms", static_cast<std::int64_t>(toMs(now - configBehindSince)) } });
+        metrics.add("balsammill_config_requests_total");
         configBehindSince = now;
         balsammill::internal::ShardPeerMessage message;
         message.mutable_config_request();
@@ -399,6 +404,10 @@
         balsammill::internal::ShardPeerMessage message;
         message.mutable_config_copy()->set_version(queues->config().version.value);
         message.mutable_config_copy()->set_document(configDocument);
+        log.event("config.sent",
+            { { "peer", to.peer().vm.value }, { "version", queues->config().version.value },
+                { "bytes", std::uint64_t { configDocument.size() } } });
+        metrics.add("balsammill_config_sent_bytes_total", {}, configDocument.size());
         to.send(message);
     }
 
