Receive a response of the store completely while it progresses

What callers saw: with a large configuration, entries on small VMs kept an old one, refused routes that had been added and served routes that had been removed (rule CONFIG).

Cause: a call to the store had to be complete at its deadline, which for a change that arrives at the end of a long poll is 400 ms away. A row of 1 MB takes longer on a link of 19 Mbit/s, and the next attempt started from the beginning. Retries that discard what has been received cannot succeed if every attempt takes longer than the limit, and they load the link of the others.

Change: the deadline of a read or long poll is the time by which the response has to begin. A response that is being received ends only with a gap of 1 s. Bytes that wait in the socket while the event loop is busy count as received.

HttpTests covers a response that stops halfway.

--- a/libs/http/src/HttpClient.cpp
+++ b/libs/http/src/HttpClient.cpp
@@ -52,19 +52,18 @@
     {
     }
 
-    void start(const NetworkAddress& address, std::string text, TimePoint deadline, HttpCallback callback)
+    void start(const NetworkAddress& address, std::string text, TimePoint deadline, bool extendsWhileReceiving,
+        HttpCallback callback)
     {
         serializedRequest_ = std::move(text);
+        deadline_ = deadline;
+        extendsWhileReceiving_ = extendsWhileReceiving;
         callback_ = std::move(callback);
         bytesWritten_ = 0;
         sendStarted_ = false;
         parser_.emplace();
         parser_->body_limit(maxResponseBytes);
-        timer_.expires_at(deadline);
-        timer_.async_wait([self = shared_from_this()](error_code error) {
-            if (!error)
-                self->fail("timeout");
-        });
+        waitForDeadline();
         if (socket_.is_open()) {
             write();
             return;
@@ -106,6 +105,30 @@
     }
 
 private:
+    void waitForDeadline()
+    {
+        timer_.expires_at(deadline_);
+        timer_.async_wait([self = shared_from_this()](error_code error) {
+            if (error)
+                return;
+            // Received bytes may wait in the socket if the event loop was busy.
+            if (self->extendsWhileReceiving_ && self->hasUnreadBytes())
+                self->extendDeadline();
+            if (monotonicNow() < self->deadline_)
+                self->waitForDeadline();
+            else
+                self->fail("timeout");
+        });
+    }
+
+    void extendDeadline() { deadline_ = std::max(deadline_, monotonicNow() + maxReceiveGap); }
+
+    bool hasUnreadBytes() const
+    {
+        error_code error;
+        return sendStarted_ && socket_.available(error) > 0 && !error;
+    }
+
     void write()
     {
         sendStarted_ = true;
@@ -139,6 +162,8 @@
             fail(error.message());
             return;
         }
+        if (extendsWhileReceiving_)
+            extendDeadline();
         unparsedBytes_.append(readBuffer_.data(), count);
         error_code parseError;
         const auto used = parser_->put(asio::buffer(unparsedBytes_), parseError);
@@ -202,6 +227,8 @@
     asio::ip::tcp::socket socket_;
     Timer timer_;
     std::weak_ptr<HttpClient*> owner_;
+    TimePoint deadline_ {};
+    bool extendsWhileReceiving_ { false };
     std::string serializedRequest_;
     std::size_t bytesWritten_ { 0 };
     // Set before the first write: the kernel may have sent bytes although the completion handler has not run yet.
@@ -232,10 +259,11 @@
     closeIdle();
 }
 
-void HttpClient::send(const HttpRequest& request, TimePoint deadline, HttpCallback callback, HttpConnectionId on)
+void HttpClient::send(
+    const HttpRequest& request, TimePoint deadline, HttpCallback callback, const HttpSendOptions& options)
 {
     std::shared_ptr<Connection> connection;
-    const bool reserved = on != HttpConnectionId() && !idle_.empty() && idle_.back()->id_ == on;
+    const bool reserved = options.on != HttpConnectionId() && !idle_.empty() && idle_.back()->id_ == options.on;
     if (reserved || nextConnection() != HttpConnectionId()) {
         connection = std::move(idle_.back());
         idle_.pop_back();
@@ -243,7 +271,8 @@
         connection = std::make_shared<Connection>(context_, HttpConnectionId(++lastConnection_), self_);
     }
     busy_.push_back(connection);
-    connection->start(address_, serialize(request, address_.value), deadline, std::move(callback));
+    connection->start(
+        address_, serialize(request, address_.value), deadline, options.extendsWhileReceiving, std::move(callback));
 }
 
 HttpConnectionId HttpClient::nextConnection()
--- a/libs/http/tests/HttpTests.cpp
+++ b/libs/http/tests/HttpTests.cpp
@@ -81,6 +81,25 @@
     CHECK_FALSE((requests == 1 && result->neverSent));
 }
 
+// Guards against a call that never ends because its response has begun.
+TEST_CASE("A response that stops arriving ends the request with a timeout")
+{
+    asio::io_context loop;
+    asio::ip::tcp::acceptor acceptor(loop, { asio::ip::address_v4::loopback(), 0 });
+    asio::ip::tcp::socket accepted(loop);
+    acceptor.async_accept(accepted, [&](const boost::system::error_code& error) {
+        REQUIRE_FALSE(error);
+        asio::write(accepted, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")));
+    });
+    HttpClient client(loop, NetworkAddress("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())), 1);
+    std::optional<HttpResult> result;
+    client.send(post("1"), monotonicNow() + 100ms, [&](HttpResult received) { result = std::move(received); },
+        { .extendsWhileReceiving = true });
+    REQUIRE(runUntil(loop, [&] { return result.has_value(); }));
+    CHECK_FALSE(result->response.has_value());
+    CHECK_EQ(result->error, "timeout");
+}
+
 // Guards against a lost retry: no upstream can have received a request whose connection was refused.
 TEST_CASE("A request on a refused connection is reported as not sent")
 {
--- a/libs/node/src/serving/UpstreamSession.cpp
+++ b/libs/node/src/serving/UpstreamSession.cpp
@@ -134,8 +134,7 @@
                   return false;
               copies->grant = copies->grant || sent.lease;
               copies->last = copy;
-              self->commandClient_->send(
-                  *request, deadline,
+              self->commandClient_->send(*request, deadline,
                   [self, copies, sent, done](HttpResult result) {
                       if (self->closed_)
                           return;
@@ -144,7 +143,7 @@
                       copies->answered = sent;
                       done(std::move(result));
                   },
-                  sent.connection);
+                  { .on = sent.connection });
               return true;
           };
     RepeatedRequest::send(context_.loop,
@@ -345,8 +344,7 @@
     acknowledgeEnds(sent, *pollClient_);
     const auto request = Platform::encodeReportRequest(id_, std::nullopt, sent.token, sent.acknowledgedEnd, waitFor);
     context_.metrics.add("balsammill_upstream_reports_total");
-    pollClient_->send(
-        request, now + waitFor + answerTimeout,
+    pollClient_->send(request, now + waitFor + answerTimeout,
         [self = shared_from_this(), sent, poll = ++lastPoll_](const HttpResult& result) {
             if (self->closed_)
                 return;
@@ -364,7 +362,7 @@
                 self->advance(answeredAt);
             }
         },
-        sent.connection);
+        { .on = sent.connection });
 }
 
 void UpstreamSession::logExpiry(TimePoint now, std::size_t stillRunning)
