Transfer the configuration between entries in pieces, one at a time

Cause: an entry that learned of a newer version requested the whole document from a peer every 300 ms, from whichever peer reported next, and at once for every change after the first, as the time since which it was behind was not cleared. Each copy occupied the connection that also carries the heartbeats. A connection without confirmation for 800 ms is closed, its copy was lost, and the next one started from the beginning beside others that shared the link. An entry on a link of 19 Mbit/s lost nine peers again and again for 6 s.

Change: the document is compressed and sent in pieces of 32 KB, of which an entry requests one at a time. Pieces are kept when a connection ends, and any peer with the version continues. A source keeps the previous document, so that a transfer ends while the configuration changes. The store has 300 ms for each change to deliver it first. Requests of earlier versions are answered with the whole document. ConfigExchange takes the configuration out of EntryNode.

ConfigPiecesTests covers lost connections, repeated and altered pieces and changes meanwhile.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -9,6 +9,7 @@
 #include "clients/JobMessageCodec.h"
 #include "ownership/ShardDirectory.h"
 #include "ownership/ShardOwnership.h"
+#include "peers/ConfigExchange.h"
 #include "peers/PeerNetwork.h"
 
 #include "balsammill/base/ProcessId.h"
@@ -16,7 +17,6 @@
 #include "balsammill/internal/shard.pb.h"
 #include "platform/Documents.h"
 #include "platform/JobMessages.h"
-#include "platform/Json.h"
 #include "platform/SettingsFile.h"
 
 #include <boost/asio/post.hpp>
@@ -47,8 +47,6 @@
 // While a process starts, it looks more often whether it can claim a shard.
 constexpr Duration startupTickInterval = std::chrono::milliseconds(10);
 constexpr Duration maxStartupPeriod = std::chrono::seconds(1);
-// How long to wait for the store to deliver a newer configuration before it is requested from the peer that has it.
-constexpr Duration configFetchDelay = std::chrono::milliseconds(300);
 // Time allowed for flushing the log at exit; the log is written every 100 ms.
 constexpr Duration logFlushTimeout = std::chrono::milliseconds(200);
 
@@ -86,6 +84,7 @@
     TableFollower operatorRows;
     TableFollower shardRows;
     ShardOwnership ownership;
+    ConfigExchange configuration;
     JobClient jobs;
     ClientRequestHandler front;
     HttpServer clientServer;
@@ -93,10 +92,7 @@
     HttpServer metricsServer;
     boost::asio::signal_set signals;
     Timer tick;
-    std::shared_ptr<const QueueTable> queues;
-    std::string configDocument;
     TimePoint startedAt { monotonicNow() };
-    TimePoint configBehindSince {};
     TimePoint statusAt {};
     TimePoint drainingSince {};
     bool draining { false };
@@ -128,7 +124,7 @@
               { .changed =
                       [this](const Platform::Row& row) {
                           if (row.key == Platform::configurationKey)
-                              adoptConfiguration(row.value, "store");
+                              configuration.handleStored(row.value);
                           else if (const auto domain = Platform::evacuatedDomain(row.key))
                               startEvacuation(*domain);
                       },
@@ -155,6 +151,8 @@
                   .moved = [this](const Submitter& to, const Shards::ShardName& shard,
                                const ShardLocation& owner) { notifyMoved(to, shard, owner); },
                   .holdsRequest = [this](std::uint64_t number) { return jobs.holds(RequestNumber(number)); } })
+        , configuration(
+              context, [this](const std::shared_ptr<const QueueTable>& queues) { applyConfiguration(queues); })
         , jobs(context, peers, directory, ownership)
         , front(context, jobs)
         , clientServer(loop, settings.clientListen,
@@ -225,27 +223,14 @@
             log.event("store.lost", { { "reason", reason } });
     }
 
-    void adoptConfiguration(const std::string& document, const char* source)
+    void applyConfiguration(const std::shared_ptr<const QueueTable>& queues)
     {
-        try {
-            auto config = Platform::parseConfiguration(document);
-            if (queues && config.version <= queues->config().version)
-                return;
-            const auto& limits = config.limits;
-            clientServer.setLimits({ .maxHeaderBytes = limits.maxHeaderBytes,
-                .maxBodyBytes = limits.maxBodyBytes,
-                .requestTimeout = limits.headerTimeout,
-                .idleTimeout = limits.idleTimeout });
-            queues = std::make_shared<const QueueTable>(std::move(config));
-            configDocument = document;
-            front.setQueues(queues);
-            log.event("config.adopted",
-                { { "version", queues->config().version.value }, { "source", source },
-                    { "queues", std::uint64_t { queues->config().queues.size() } },
-                    { "bytes", std::uint64_t { document.size() } } });
-        } catch (const Platform::FormatError& error) {
-            log.event("config.rejected", { { "source", source }, { "reason", error.what() } });
-        }
+        const auto& limits = queues->config().limits;
+        clientServer.setLimits({ .maxHeaderBytes = limits.maxHeaderBytes,
+            .maxBodyBytes = limits.maxBodyBytes,
+            .requestTimeout = limits.headerTimeout,
+            .idleTimeout = limits.idleTimeout });
+        front.setQueues(queues);
     }
 
     void handlePeerMessage(PeerLink& from, const balsammill::internal::ShardPeerMessage& message)
@@ -276,9 +261,9 @@
             ownership.handleTaken(from, Shards::ShardName(message.taken().shard()), Epoch(message.taken().epoch()),
                 NetworkAddress(message.taken().address()));
         else if (message.has_config_request())
-            sendConfiguration(from);
+            configuration.handleRequest(from, message.config_request());
         else if (message.has_config_copy())
-            adoptConfiguration(message.config_copy().document(), "peer");
+            configuration.handleCopy(from, message.config_copy());
     }
 
     void handleSubmit(PeerLink& from, const balsammill::internal::SubmitShardJob& submit)
@@ -379,36 +364,7 @@
         // resend delay less that lease.
         if (context.stall.isSettled(now))
             jobs.confirmSubmissions(from);
-        const auto currentVersion = queues ? queues->config().version.value : 0;
-        if (status.config_version() <= currentVersion) {
-            return;
-        }
-        if (configBehindSince == TimePoint {})
-            configBehindSince = now;
-        if (now - configBehindSince < configFetchDelay)
-            return;
-        log.event("config.requested",
-            { { "peer", from.peer().vm.value }, { "version", status.config_version() },
-                { "behind_ms", static_cast<std::int64_t>(toMs(now - configBehindSince)) } });
-        metrics.add("balsammill_config_requests_total");
-        configBehindSince = now;
-        balsammill::internal::ShardPeerMessage message;
-        message.mutable_config_request();
-        from.send(message);
-    }
-
-    void sendConfiguration(PeerLink& to)
-    {
-        if (!queues)
-            return;
-        balsammill::internal::ShardPeerMessage message;
-        message.mutable_config_copy()->set_version(queues->config().version.value);
-        message.mutable_config_copy()->set_document(configDocument);
-        log.event("config.sent",
-            { { "peer", to.peer().vm.value }, { "version", queues->config().version.value },
-                { "bytes", std::uint64_t { configDocument.size() } } });
-        metrics.add("balsammill_config_sent_bytes_total", {}, configDocument.size());
-        to.send(message);
+        configuration.handleVersion(from, ConfigVersion(status.config_version()));
     }
 
     void handlePeerClosed(const PeerLink& link)
@@ -421,6 +377,7 @@
                     { "received_ms_ago", static_cast<std::int64_t>(toMs(now - link.lastReceivedAt())) },
                     { "confirmed_ms_ago", static_cast<std::int64_t>(toMs(now - link.confirmedAt())) } });
         ownership.handlePeerClosed(link);
+        configuration.handlePeerClosed(link);
         jobs.handlePeerClosed(link);
     }
 
@@ -436,7 +393,7 @@
         statusAt = now;
         balsammill::internal::ShardPeerMessage message;
         auto* status = message.mutable_status();
-        status->set_config_version(queues ? queues->config().version.value : 0);
+        status->set_config_version(configuration.version().value);
         status->set_leaving(draining);
         for (const auto& [name, server] : ownership.servers()) {
             const auto load = server->load();
@@ -474,6 +431,7 @@
         metrics.set("balsammill_open_requests", {}, static_cast<double>(clientServer.openRequests()));
         metrics.set("balsammill_buffered_bytes", {}, static_cast<double>(clientServer.bufferedBytes()));
         metrics.set("balsammill_open_connections", {}, static_cast<double>(clientServer.openConnections()));
+        metrics.set("balsammill_config_version", {}, static_cast<double>(configuration.version().value));
         metrics.set("balsammill_loop_lag_ms", {}, toMs(context.loopLag.lastLag()));
         metrics.set("balsammill_evacuated_domains", {}, static_cast<double>(context.evacuations.size()));
         metrics.set("balsammill_log_lines_dropped", {}, static_cast<double>(log.droppedLines()));
@@ -491,7 +449,10 @@
     }
 
     // True until the store's tables have been read, if that takes no longer than usual.
-    bool starting() const { return monotonicNow() < startedAt + maxStartupPeriod && !(queues && shardRows.loaded()); }
+    bool starting() const
+    {
+        return monotonicNow() < startedAt + maxStartupPeriod && !(configuration.queues() && shardRows.loaded());
+    }
 
     void scheduleTick()
     {
@@ -526,7 +487,7 @@
         jobs.advance(now);
         front.advance(now);
         sendStatus(now, false);
-        const bool nowReady = queues && !draining && jobs.canServe();
+        const bool nowReady = configuration.queues() && !draining && jobs.canServe();
         if (nowReady != ready) {
             ready = nowReady;
             log.event("readiness.changed", { { "ready", ready ? "yes" : "no" } });
--- a/tests/platform/FakeEntryLink.cpp
+++ b/tests/platform/FakeEntryLink.cpp
@@ -53,13 +53,26 @@
     for (int shift = 24; shift >= 0; shift -= 8)
         frame.push_back(static_cast<char>((body.size() >> shift) & 0xFF));
     frame += body;
+    if (maxSentBytes_)
+        frame.resize(std::min(frame.size(), *maxSentBytes_ - sentBytes_));
     try {
         socket_.sendBytes(frame.data(), static_cast<int>(frame.size()));
+        sentBytes_ += frame.size();
+        if (maxSentBytes_ && sentBytes_ == *maxSentBytes_) {
+            socket_.shutdown();
+            closed_ = true;
+        }
     } catch (const Poco::Exception&) {
         closed_ = true; // isClosed() reports it.
     }
 }
 
+void FakeEntryLink::closeAfter(std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    maxSentBytes_ = std::max(bytes, sentBytes_ + 1);
+}
+
 void FakeEntryLink::close()
 {
     stopping_ = true;
--- a/tests/platform/FakeEntryLink.h
+++ b/tests/platform/FakeEntryLink.h
@@ -31,6 +31,8 @@
     void stopHeartbeats() { heartbeats_ = false; }
     /// Keeps the connection open and sends heartbeats, but reads nothing more.
     void stopReading() { reading_ = false; }
+    /// Closes the connection once this many bytes have been sent on it in total; a message may end halfway.
+    void closeAfter(std::size_t bytes);
     void close();
     /// True if this or the other process has closed the connection.
     bool isClosed() const { return closed_; }
@@ -46,6 +48,8 @@
     mutable std::mutex mutex_;
     Poco::Net::StreamSocket socket_;
     std::string input_;
+    std::size_t sentBytes_ { 0 };
+    std::optional<std::size_t> maxSentBytes_;
     std::vector<Message> received_;
     std::uint64_t peerSentAtMs_ { 0 };
     std::chrono::steady_clock::time_point nextHeartbeatAt_;
