Keep the timeout of TableClient, whose callers block

The callers of TableClient block until their timeout and not longer, so an entry now asks for it with StoreOptions.

--- a/libs/node/src/EntryNode.cpp
+++ b/libs/node/src/EntryNode.cpp
@@ -109,10 +109,11 @@
             .incarnation = newIncarnation(),
             .log = log,
             .metrics = metrics }
-        , store(loop, settings.storeAddress,
-              [this](Platform::StoreCall call, Platform::StoreStatus status, Duration took) {
-                  recordStoreCall(call, status, took);
-              })
+        , store(loop,
+              { .address = settings.storeAddress,
+                  .observer = [this](Platform::StoreCall call, Platform::StoreStatus status,
+                                  Duration took) { recordStoreCall(call, status, took); },
+                  .extendsReadsWhileReceiving = true })
         , peers(loop,
               { .listen = settings.peerListen,
                   .self = { .vm = settings.vm, .incarnation = context.incarnation },
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -20,7 +20,8 @@
     Fixture()
     {
         ownLoop.run([this] {
-            store = std::make_unique<Platform::Store>(ownLoop.context(), NetworkAddress(operatorStore.address()));
+            store = std::make_unique<Platform::Store>(
+                ownLoop.context(), Platform::StoreOptions { .address = NetworkAddress(operatorStore.address()) });
         });
     }
     ~Fixture()
--- a/libs/node/tests/ShardServerTests.cpp
+++ b/libs/node/tests/ShardServerTests.cpp
@@ -65,7 +65,8 @@
                 .incarnation = Incarnation(1),
                 .log = log,
                 .metrics = metrics });
-            store = std::make_unique<Platform::Store>(ownLoop.context(), NetworkAddress(operatorStore.address()));
+            store = std::make_unique<Platform::Store>(
+                ownLoop.context(), Platform::StoreOptions { .address = NetworkAddress(operatorStore.address()) });
         });
     }
     ~Fixture()
--- a/libs/node/tests/TableFollowerTests.cpp
+++ b/libs/node/tests/TableFollowerTests.cpp
@@ -106,7 +106,7 @@
     asio::io_context loop;
     SlowStore slowStore(loop,
         R"({"rows":[{"table":"op","key":"config","value":")" + std::string(100'000, 'A') + R"(","ver":7}],"ver":7})");
-    Platform::Store store(loop, slowStore.address());
+    Platform::Store store(loop, { .address = slowStore.address(), .extendsReadsWhileReceiving = true });
     std::size_t valueBytes = 0;
     int requestsBeforeChange = 0;
     TableFollower follower(loop, store, "op", Duration::zero(),
--- a/libs/node/tests/UpstreamRegistryTests.cpp
+++ b/libs/node/tests/UpstreamRegistryTests.cpp
@@ -34,10 +34,11 @@
         ownLoop.run([this] {
             context = std::make_unique<NodeContext>(NodeContext {
                 .loop = ownLoop.context(), .settings = {}, .incarnation = {}, .log = log, .metrics = metrics });
-            store = std::make_unique<Platform::Store>(ownLoop.context(), NetworkAddress(operatorStore.address()),
-                [this](Platform::StoreCall, Platform::StoreStatus status, Duration) {
-                    failedCalls += status == Platform::StoreStatus::Ok ? 0 : 1;
-                });
+            store = std::make_unique<Platform::Store>(ownLoop.context(),
+                Platform::StoreOptions { .address = NetworkAddress(operatorStore.address()),
+                    .observer = [this](Platform::StoreCall, Platform::StoreStatus status, Duration) {
+                        failedCalls += status == Platform::StoreStatus::Ok ? 0 : 1;
+                    } });
             registry = std::make_unique<UpstreamRegistry>(*context, *store,
                 UpstreamRegistry::Handlers {
                     .changed = [](const Shards::UpstreamInfo&) {}, .removed = [](const Shards::UpstreamId&) {} });
