--- a/review/standin-3/Cases.cc
+++ b/review/standin-3/Cases.cc
@@ -1,6 +1,7 @@
 #include "World.hh"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -62,68 +63,29 @@
     return found.empty() ? held : broken;
 }
 
-// All workers of one zone crash for good while stored jobs have work left.
-int zoneWithoutWorkers()
-{
-    auto& world = makeWorld({ .workers = { 6, 6, 2 } });
-    if (!world.waitUntilReady())
-        return couldNotRun;
-    std::vector<std::string> jobs;
-    for (int i = 0; i < 12; ++i) {
-        const auto id = jobId(static_cast<std::uint64_t>(100 + i));
-        if (!world.submit(id,
-                R"({"task_spec":"0:ms=400,cpu=4000","steps":[{"count":40,"cpu":4000,"memory_limit_mb":64,"estimated_ms":400}]})"))
-            return couldNotRun;
-        jobs.push_back(id);
-    }
-    if (withTrouble()) {
-        world.loop.run([&] {
-            for (const auto& worker : world.workers)
-                if (worker->options().zone == "usakos")
-                    worker->crash();
-        });
-    }
-    // The entries notice the loss, and the other zones finish their work.
-    sleepMs(20'000);
-    std::vector<std::string> open;
-    for (const auto& id : jobs) {
-        if (stateIn(world.stateOf(id)) != "completed")
-            open.push_back(id);
-    }
-    const auto idle = watch(world, open, 4000, 20);
-    std::vector<std::string> found;
-    for (const auto& id : open) {
-        const auto state = stateIn(world.stateOf(id));
-        if (state != "completed" && idle.at(id) > 3)
-            found.push_back("LOST " + id + " is " + state + ", had nothing running for " + std::to_string(idle.at(id))
-                + " s with room for it twice over");
-    }
-    return report(world, found);
-}
-
 int wideJobs()
 {
     auto& world = makeWorld({});
     if (!world.waitUntilReady())
         return couldNotRun;
-    const int count = withTrouble() ? 6 : 4;
+    const int count = withTrouble() ? 12 : 6;
     const auto size = std::to_string(count);
     const auto gang = jobId(200);
     const auto lasting = jobId(201);
-    // A gang of tasks with 20 cores each on workers with 32 cores each, 4 of them in each zone.
+    // Tasks with 14 cores each on workers with 32 cores each, 4 of them in each zone: 8 such tasks fit in a zone.
     if (!world.submit(gang,
-            R"({"task_spec":"0:ms=1000,cpu=20000,gang=)" + size + R"(","steps":[{"count":)" + size
-                + R"(,"cpu":20000,"memory_limit_mb":64,"estimated_ms":1000,"gang":true}]})"))
+            R"({"task_spec":"0:ms=1000,cpu=14000,gang=)" + size + R"(","steps":[{"count":)" + size
+                + R"(,"cpu":14000,"memory_limit_mb":64,"estimated_ms":1000,"gang":true}]})"))
         return couldNotRun;
-    const auto idle = watch(world, { gang }, 20'000 * count, 20);
+    const auto idle = watch(world, { gang }, 14'000 * count, 20);
     std::vector<std::string> found;
     const auto state = stateIn(world.stateOf(gang));
     if (state != "completed" && idle.at(gang) > 3)
         found.push_back("LOST " + gang + " is " + state + ", had nothing running for " + std::to_string(idle.at(gang))
             + " s with room for it twice over");
     if (!world.submit(lasting,
-            R"({"task_spec":"0:lasts=1,cpu=20000","steps":[{"count":)" + size
-                + R"(,"cpu":20000,"memory_limit_mb":64,"estimated_ms":1000}],"long_running":true})"))
+            R"({"task_spec":"0:lasts=1,cpu=14000","steps":[{"count":)" + size
+                + R"(,"cpu":14000,"memory_limit_mb":64,"estimated_ms":1000}],"long_running":true})"))
         return couldNotRun;
     sleepMs(15'000);
     const auto [used, all] = world.usage();
@@ -146,7 +108,8 @@
     std::vector<std::string> jobs;
     for (int i = 0; i < 3; ++i) {
         const auto id = jobId(static_cast<std::uint64_t>(300 + i));
-        const std::string fail = withTrouble() ? ",failms=1300" : "";
+        // One run of one member of one gang fails.
+        const std::string fail = withTrouble() && i == 0 ? ",failms=1300" : "";
         if (!world.submit(id,
                 R"({"task_spec":"0:ms=3000,cpu=12000,gang=4,checkpoints=1)" + fail
                     + R"(","steps":[{"count":4,"cpu":12000,"memory_limit_mb":64,"estimated_ms":3000,"gang":true,"checkpoints":true}]})"))
@@ -309,17 +272,157 @@
     return report(world, found);
 }
 
+// The machine that owns a zone's shard is removed for good, and a new one comes 2 s later at another address.
+int removedOwner()
+{
+    auto& world = makeWorld({});
+    if (!world.waitUntilReady())
+        return couldNotRun;
+    const std::string zone = "valencia";
+    std::vector<std::string> lasting;
+    for (int i = 0; i < 9; ++i) {
+        lasting.push_back(jobId(static_cast<std::uint64_t>(700 + i)));
+        if (!world.submit(lasting.back(),
+                R"({"task_spec":"0:lasts=1,cpu=2000","steps":[{"count":1,"cpu":2000,"memory_limit_mb":64,"estimated_ms":1000}],"long_running":true})"))
+            return couldNotRun;
+    }
+    sleepMs(6'000);
+    auto* owner = world.ownerOf(zone);
+    if (owner == nullptr)
+        return couldNotRun;
+    const auto removedAt = nowMs();
+    if (withTrouble()) {
+        owner->signal(SIGKILL);
+        owner->wait();
+        world.record.line("the machine " + owner->name() + " is removed for good");
+        sleepMs(2'000);
+        world.addEntry(zone, "front-" + zone + "-4");
+        world.record.line("a new machine front-" + zone + "-4 comes");
+    }
+    // For each task that lasts: when it last ran, and for how long it has not run since 6 s after that.
+    std::map<std::string, std::int64_t> lastRan;
+    std::map<std::string, std::int64_t> longestMs;
+    for (const auto& id : lasting)
+        lastRan[id] = removedAt;
+    std::int64_t nextState = 0;
+    while (nowMs() < removedAt + 30'000) {
+        const auto [used, all] = world.usage();
+        for (const auto& id : lasting) {
+            if (world.isRunning(id) || used * 2 >= all)
+                lastRan[id] = nowMs();
+            longestMs[id] = std::max(longestMs[id], nowMs() - lastRan[id]);
+        }
+        if (nowMs() >= nextState) {
+            for (const auto& id : lasting)
+                world.stateOf(id, 400);
+            nextState = nowMs() + 2'000;
+        }
+        sleepMs(20);
+    }
+    std::vector<std::string> found;
+    for (const auto& id : lasting) {
+        // From 6 s after its last run, for 3 s.
+        if (longestMs[id] > 9'000)
+            found.push_back("LOST the task of " + id + " did not run for " + std::to_string(longestMs[id])
+                + " ms on end, with most of the service free");
+    }
+    return report(world, found);
+}
+
+// A repeated job; its owner is stopped and started as planned, later the owner is killed while a worker fails its runs.
+int reusedRunNumber()
+{
+    auto& world = makeWorld({});
+    if (!world.waitUntilReady())
+        return couldNotRun;
+    const std::vector<std::string> zones { "malaybalay", "valencia", "lantapan" };
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 6; ++i) {
+        jobs.push_back(jobId(static_cast<std::uint64_t>(800 + i)));
+        if (!world.submit(jobs.back(),
+                R"({"task_spec":"0:ms=900,cpu=3000","steps":[{"count":4,"cpu":3000,"memory_limit_mb":64,"estimated_ms":900}],"repeat_count":60,"first_run_ms":)"
+                    + std::to_string(unixMs() + 1'000) + R"(,"interval_ms":500})"))
+            return couldNotRun;
+    }
+    sleepMs(5'000);
+    const std::string zone = "malaybalay";
+    if (withTrouble()) {
+        auto* first = world.ownerOf(zone);
+        if (first == nullptr)
+            return couldNotRun;
+        world.record.line("SIGTERM for " + first->name() + ", the owner");
+        first->signal(SIGTERM);
+        first->wait();
+        first->start();
+        world.record.line(first->name() + " is started again");
+        sleepMs(5'000);
+        auto* second = world.ownerOf(zone);
+        if (second == nullptr)
+            return couldNotRun;
+        Worker* grey = nullptr;
+        for (const auto& worker : world.workers) {
+            const bool busier = worker->options().zone == zone
+                && world.loop.run([&] { return grey == nullptr || worker->runs() > grey->runs(); });
+            if (busier)
+                grey = worker.get();
+        }
+        world.record.line(grey->options().id + " fails what it runs");
+        world.loop.run([&] { grey->setFailing(300); });
+        world.record.line(second->name() + ", the owner, is killed");
+        second->signal(SIGKILL);
+        second->wait();
+        sleepMs(500);
+        second->start();
+        sleepMs(5'000);
+        world.loop.run([&] { grey->setFailing(0); });
+        world.record.line(grey->options().id + " is sound again");
+    }
+    // The last occurrence is due 30 s after the first.
+    sleepMs(withTrouble() ? 30'000 : 45'000);
+    std::vector<std::string> found;
+    std::vector<std::string> open;
+    for (const auto& id : jobs) {
+        if (stateIn(world.stateOf(id)) != "completed")
+            open.push_back(id);
+    }
+    const auto idle = watch(world, open, 12'000, 15);
+    for (const auto& id : open) {
+        const auto state = stateIn(world.stateOf(id));
+        if (state != "completed" && idle.at(id) > 3)
+            found.push_back("LOST " + id + " is " + state + ", had nothing running for " + std::to_string(idle.at(id))
+                + " s with room for it twice over");
+    }
+    // The next change of the owner starts the tasks again.
+    if (withTrouble()) {
+        if (auto* third = world.ownerOf(zone); third != nullptr) {
+            world.record.line("SIGTERM for " + third->name() + ", the owner");
+            third->signal(SIGTERM);
+            third->wait();
+            third->start();
+        }
+        sleepMs(10'000);
+        for (const auto& id : open)
+            world.stateOf(id);
+    }
+    for (const auto& each : world.violations()) {
+        if (each.starts_with("TWICE"))
+            found.push_back(each);
+    }
+    return report(world, found);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const std::map<std::string, int (*)()> cases {
-        { "zone-without-workers", zoneWithoutWorkers },
         { "wide-jobs", wideJobs },
         { "gang-checkpoints", gangCheckpoints },
         { "gang-anti-affinity", gangAntiAffinity },
         { "long-schedule", longSchedule },
         { "odd-entry", oddEntry },
+        { "reused-run-number", reusedRunNumber },
+        { "removed-owner", removedOwner },
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
--- a/review/standin-3/World.cc
+++ b/review/standin-3/World.cc
@@ -226,6 +226,40 @@
     wake();
 }
 
+std::string Store::writerOf(const std::string& zone, const std::vector<std::string>& names) const
+{
+    for (const auto& [key, row] : rows_) {
+        if (!key.key.starts_with(zone + "/"))
+            continue;
+        std::string bytes;
+        unsigned value = 0;
+        int bits = 0;
+        for (const char c : row.base64) {
+            static const std::string digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+            const auto digit = digits.find(c);
+            if (digit == std::string::npos)
+                break;
+            value = value << 6U | static_cast<unsigned>(digit);
+            bits += 6;
+            if (bits >= 8) {
+                bits -= 8;
+                bytes += static_cast<char>(value >> static_cast<unsigned>(bits) & 255U);
+            }
+        }
+        // The row also names the machine that handed the shard over, further behind.
+        std::string first;
+        auto position = std::string::npos;
+        for (const auto& name : names) {
+            if (const auto at = bytes.find(name); at < position) {
+                position = at;
+                first = name;
+            }
+        }
+        return first;
+    }
+    return {};
+}
+
 void Store::remove(const std::string& table, const std::string& key)
 {
     ++version_;
@@ -504,24 +538,6 @@
     });
 }
 
-void Worker::crash()
-{
-    record_.line("worker " + options_.id + " crashes");
-    server_.reset();
-    waiters_.clear();
-    const auto ended = runs_;
-    for (const auto& [task, run] : ended) {
-        run.timer->cancel();
-        runs_.erase(task);
-        --tasks_.running[task];
-        endGangOf(task, run.number, "broken");
-    }
-    loop_.after(3 * heartbeatMs, [this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired() && !server_)
-            store_.remove("servers", options_.id);
-    });
-}
-
 int Worker::usedCpu() const
 {
     int used = 0;
@@ -597,6 +613,8 @@
     leaseTimer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](const boost::system::error_code& error) {
         if (error || alive.expired() || clockMs() < leaseUntil_)
             return;
+        for (auto& each : ends_)
+            each.lapsed = true;
         const auto lapsed = runs_;
         for (const auto& [task, run] : lapsed)
             end(task, "lapsed");
@@ -636,8 +654,8 @@
     }
     if (++tasks_.running[task] > 1)
         tasks_.violations.push_back("TWICE " + task + " runs twice at the same time");
-    if (tasks_.done[task] > 0)
-        tasks_.violations.push_back("TWICE " + task + " is started after it has ended done");
+    if (tasks_.noted.contains(task))
+        tasks_.violations.push_back("TWICE " + task + " is started after an end done that was taken note of");
     ++tasks_.started[task];
     if (tasks_.logTasks)
         record_.line("run " + task + " " + std::to_string(number) + " starts on " + options_.id
@@ -678,10 +696,32 @@
     return {};
 }
 
+void Worker::setFailing(std::int64_t afterMs)
+{
+    failAfterMs_ = afterMs;
+    if (afterMs == 0)
+        return;
+    for (auto& [task, run] : runs_) {
+        run.timer->expires_after(std::chrono::milliseconds(afterMs));
+        run.timer->async_wait([this, task = task](const boost::system::error_code& error) {
+            if (!error)
+                end(task, "failed");
+        });
+    }
+}
+
 void Worker::work(const std::string& task)
 {
     auto& run = runs_.at(task);
     run.workingSince = nowMs();
+    if (failAfterMs_ > 0) {
+        run.timer->expires_after(std::chrono::milliseconds(failAfterMs_));
+        run.timer->async_wait([this, task](const boost::system::error_code& error) {
+            if (!error)
+                end(task, "failed");
+        });
+        return;
+    }
     if (run.kind.lasts)
         return;
     const bool fails = run.kind.failMs > 0 && run.number == 1 && task.ends_with(".0");
@@ -789,6 +829,10 @@
 
 void Worker::hold(std::uint64_t lastSeen, std::int64_t waitMs, const Exchange& exchange)
 {
+    for (const auto& each : ends_) {
+        if (each.number <= lastSeen && each.how == "done" && !each.lapsed)
+            tasks_.noted.insert(each.task);
+    }
     std::erase_if(ends_, [&](const End& each) { return each.number <= lastSeen; });
     if (!ends_.empty() || waitMs == 0) {
         exchange->respond({ .status = 200, .fields = {}, .body = report() });
@@ -844,13 +888,14 @@
     const auto internal = freePorts(16);
     std::ofstream text(settings_);
     text << "node_name = \"" << name << "\"\nrole = \"entry\"\nmachine_class = \"front\"\nserves = [\"front\"]\n"
-         << "ip = \"127.0.0.1\"\nzone = \"" << zone << "\"\nregion = \"erongo\"\ninternal_port_range = [" << internal
-         << "," << internal + 15 << "]\nseeds = []\nbootstrap = true\nin_tolerance = true\ndiscovery = \"platform\"\n"
+         << "ip = \"127.0.0.1\"\nzone = \"" << zone << "\"\nregion = \"mindanao-north\"\ninternal_port_range = ["
+         << internal << "," << internal + 15
+         << "]\nseeds = []\nbootstrap = true\nin_tolerance = true\ndiscovery = \"platform\"\n"
          << "entry = \"virtual_ip\"\nheartbeat_ms = 1500\n"
          << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"platform\",\"advice\","
             "\"upkeep\",\"sharing\"]\norders = \"call\"\n[zones]\n";
     for (const auto& each : zones)
-        text << each << " = \"erongo\"\n";
+        text << each << " = \"mindanao-north\"\n";
     text << "[listen]\nfront = \"127.0.0.1:" << front_ << "\"\nready = \"127.0.0.1:" << ready_ << "\"\n"
          << "[limits]\n"
          << (limits.empty() ? "cpu_share = 0.25\ncores = 1\nmemory_mb = 260\nfile_descriptors = 4100\n"
@@ -963,6 +1008,7 @@
 {
     char name[] = "/tmp/review-XXXXXX";
     folder_ = ::mkdtemp(name);
+    zones_ = options.zones;
     store = std::make_unique<Store>(loop, record);
     loop.run([&] {
         store->put("op", "config",
@@ -998,6 +1044,23 @@
         std::filesystem::remove_all(folder_);
 }
 
+Entry* World::ownerOf(const std::string& zone)
+{
+    std::vector<std::string> names;
+    for (const auto& each : entries)
+        names.push_back(each->name());
+    const auto name = loop.run([&] { return store->writerOf(zone, names); });
+    for (const auto& each : entries)
+        if (each->name() == name)
+            return each.get();
+    return nullptr;
+}
+
+void World::addEntry(const std::string& zone, const std::string& name)
+{
+    entries.push_back(std::make_unique<Entry>(folder_, name, zone, zones_, store->address()));
+}
+
 bool World::waitUntilReady()
 {
     const auto until = nowMs() + 20'000;
@@ -1016,6 +1079,8 @@
 
 Answer World::callSomeEntry(const std::string& method, const std::string& path, const std::string& body, int timeoutMs)
 {
+    while (!entries[nextEntry_ % entries.size()]->isUp())
+        ++nextEntry_;
     const auto& entry = *entries[nextEntry_++ % entries.size()];
     const auto answer = call(entry.frontPort(), method, path, body, timeoutMs);
     record.line(method + " " + path + " at " + entry.name() + " -> " + std::to_string(answer.status) + " "
--- a/review/standin-3/World.hh
+++ b/review/standin-3/World.hh
@@ -76,6 +76,8 @@
     void remove(const std::string& table, const std::string& key);
     /// Number of transactions refused because a row exceeds row_bytes.
     int refusedForSize() const { return refusedForSize_; }
+    /// The first of these names that a row of the zone's shard contains: the machine that wrote it last.
+    std::string writerOf(const std::string& zone, const std::vector<std::string>& names) const;
     std::size_t largestRow() const { return largestRow_; }
 
     static constexpr std::size_t rowBytes = 65'536;
@@ -148,6 +150,8 @@
     std::map<std::string, int> running;
     std::map<std::string, int> started;
     std::map<std::string, int> done;
+    // Tasks of which an end `done` was taken note of.
+    std::set<std::string> noted;
     // By "ID.K.STEP/run".
     std::map<std::string, Gang> gangs;
     // Checkpoints that were given out: the work that they stand for.
@@ -170,8 +174,8 @@
     Worker(Loop&, Store&, Record&, Tasks&, const Options&);
     ~Worker();
     const Options& options() const { return options_; }
-    /// Crashes: the port closes, and everything that runs here ends. The registration goes after three heartbeats.
-    void crash();
+    /// While it is set, everything that runs or starts here fails after this time.
+    void setFailing(std::int64_t afterMs);
     /// The answers to this many next starts are lost; the starts are carried out.
     void loseAnswers(int starts) { answersToLose_ = starts; }
     int answersToLose() const { return answersToLose_; }
@@ -195,6 +199,8 @@
         std::uint64_t run { 0 };
         std::string how;
         std::string saved;
+        // The worker's lease has lapsed since.
+        bool lapsed { false };
     };
     void beat();
     void handle(const Balsammill::HttpRequest&, const Exchange&);
@@ -220,6 +226,7 @@
     std::vector<End> ends_;
     std::map<std::uint64_t, Exchange> waiters_;
     std::uint64_t lastWaiter_ { 0 };
+    std::int64_t failAfterMs_ { 0 };
     int answersToLose_ { 0 };
     std::vector<Exchange> lost_;
     std::uint64_t fence_ { 0 };
@@ -244,6 +251,7 @@
     int frontPort() const { return front_; }
     int readyPort() const { return ready_; }
     const std::string& name() const { return name_; }
+    bool isUp() const { return process_ > 0; }
 
 private:
     std::string folder_;
@@ -263,7 +271,7 @@
 Answer call(int port, const std::string& method, const std::string& path, const std::string& body, int timeoutMs);
 
 struct WorldOptions {
-    std::vector<std::string> zones { "omaruru", "karibib", "usakos" };
+    std::vector<std::string> zones { "malaybalay", "valencia", "lantapan" };
     /// Entries of each zone.
     int entries { 3 };
     /// Workers of each zone, in the order of the zones.
@@ -279,6 +287,10 @@
     /// Ends the entries and removes the temporary folder.
     void stop();
     bool waitUntilReady();
+    /// The entry that last wrote the row of the zone's shard; null if there is none.
+    Entry* ownerOf(const std::string& zone);
+    /// Starts one more entry in the zone, at a new address.
+    void addEntry(const std::string& zone, const std::string& name);
     /// Submits until the job is accepted or the time is over; after no answer or 502 at the next entry, after 429 or
     /// 503 after half a second. Returns true if it was accepted.
     bool submit(const std::string& id, const std::string& body, int seconds = 10);
@@ -300,6 +312,7 @@
 
 private:
     std::string folder_;
+    std::vector<std::string> zones_;
     std::size_t nextEntry_ { 0 };
 };
 
