--- a/review/standin-3/World.cc
+++ b/review/standin-3/World.cc
@@ -657,6 +657,7 @@
     if (tasks_.noted.contains(task))
         tasks_.violations.push_back("TWICE " + task + " is started after an end done that was taken note of");
     ++tasks_.started[task];
+    tasks_.away[stepOf(task)].erase(task);
     if (tasks_.logTasks)
         record_.line("run " + task + " " + std::to_string(number) + " starts on " + options_.id
             + (checkpoint.empty() ? std::string() : " checkpoint " + checkpoint));
@@ -774,7 +775,11 @@
         ++tasks_.done[task];
     if (how == "lapsed") {
         ++tasks_.lapsed;
-        ++tasks_.lapsesOfStep[stepOf(task)];
+        auto& away = tasks_.away[stepOf(task)];
+        away.erase(task);
+        auto& most = tasks_.awayAtLapse[stepOf(task)];
+        most = std::max(most, away.size());
+        away.insert(task);
     }
     if (tasks_.logTasks)
         record_.line("run " + task + " " + std::to_string(run.number) + " ends " + how + " on " + options_.id
--- a/review/standin-3/World.hh
+++ b/review/standin-3/World.hh
@@ -159,7 +159,10 @@
     std::vector<std::string> violations;
     std::uint64_t lastCheckpoint { 0 };
     int lapsed { 0 };
-    std::map<std::string, int> lapsesOfStep;
+    // By step: the tasks whose last run has lapsed, until they start again.
+    std::map<std::string, std::set<std::string>> away;
+    // By step: the most tasks that were away when the lease of another one lapsed.
+    std::map<std::string, std::size_t> awayAtLapse;
     bool logTasks { true };
 };
 
