Bound the stored state of a repeated job

Callers saw a shard whose cancels had no answer and whose jobs never ended once a job that repeats each second had some 9,380 completed occurrences: the state had a record for each of them, 7 bytes each, and the store takes rows of 65,536 bytes.

Completed occurrences are now listed only while there is room beside the open ones, and are a bitmap beyond that. Open occurrences are limited so that their progress fits into half a row with every task failed; one counts as open until its completion is stored, so that the next owner, which takes the lowest occurrences that are not completed in the store, takes all that this owner has started. The fence row says whether an owner keeps to these limits; if not, the next owner takes every occurrence that was due. In the compact form the specification tells former versions that no occurrence is due, since they would run completed ones again. A job that cannot fit is refused at its submission with 413, before admission. row_bytes is read, and the limit counts the base64 form.

The stand-in store rejects transactions beyond the protocol's limits.

--- a/libs/node/src/clients/ClientRequestHandler.cpp
+++ b/libs/node/src/clients/ClientRequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "ClientRequestHandler.h"
 
+#include "durable/JournalCodec.h"
 #include "platform/JobMessages.h"
 #include "platform/Json.h"
 
@@ -39,6 +40,8 @@
         return "failed";
     case JobAnswer::Kind::Refused:
         return "refused";
+    case JobAnswer::Kind::NotStorable:
+        return "not_storable";
     case JobAnswer::Kind::InDoubt:
         return "in_doubt";
     case JobAnswer::Kind::Accepted:
@@ -62,6 +65,8 @@
         return Platform::jobState(Shards::JobState::Failed);
     case JobAnswer::Kind::Refused:
         return Platform::jobRefused(answer.retryAfter);
+    case JobAnswer::Kind::NotStorable:
+        return Platform::jobNotStorable();
     case JobAnswer::Kind::Accepted:
         return Platform::jobState(Shards::JobState::Queued);
     case JobAnswer::Kind::Known:
@@ -193,6 +198,13 @@
         exchange->respond(Platform::unsupportedJob(submission.unsupported));
         return;
     }
+    if (submission.spec.durable
+        && !storedStateLimits(submission.spec, Platform::maxValueBytes(context_.settings.storeRowBytes))) {
+        context_.metrics.add("balsammill_not_storable_total");
+        context_.log.event("job.not_storable", { { "id", id } });
+        exchange->respond(Platform::jobNotStorable());
+        return;
+    }
     // A request that was delayed on its way can arrive together with the end of its connection.
     if (exchange->hasClientLeft()) {
         context_.metrics.add("balsammill_abandoned_total");
--- a/libs/node/src/clients/JobClient.cpp
+++ b/libs/node/src/clients/JobClient.cpp
@@ -391,7 +391,9 @@
         answer(number, { .kind = JobAnswer::Kind::Failed });
         return;
     case OwnerAnswer::Kind::Refused:
-        answer(number, { .kind = JobAnswer::Kind::Refused, .retryAfter = result.retryAfter });
+        answer(number,
+            { .kind = result.notStorable ? JobAnswer::Kind::NotStorable : JobAnswer::Kind::Refused,
+                .retryAfter = result.retryAfter });
         return;
     case OwnerAnswer::Kind::Accepted:
         answer(number, { .kind = JobAnswer::Kind::Accepted });
--- a/libs/node/src/clients/JobClient.h
+++ b/libs/node/src/clients/JobClient.h
@@ -19,6 +19,8 @@
         Failed,
         /// The job has not run and will not run.
         Refused,
+        /// The job has not run and will not run, because the store cannot hold it.
+        NotStorable,
         /// The job may have run in part, or may have been accepted.
         InDoubt,
         /// A durable job has been stored.
--- a/libs/node/src/clients/JobMessageCodec.cpp
+++ b/libs/node/src/clients/JobMessageCodec.cpp
@@ -193,6 +193,7 @@
     message.set_retry_after_us(answer.retryAfter.count());
     message.set_redirect_shard(answer.redirect.value);
     message.set_state(encodeJobState(answer.state));
+    message.set_not_storable(answer.notStorable);
 }
 
 OwnerAnswer decodeAnswer(const Answer& message)
@@ -201,7 +202,8 @@
     OwnerAnswer answer { .kind = Kind::InDoubt,
         .retryAfter = Duration(message.retry_after_us()),
         .redirect = Shards::ShardName(message.redirect_shard()),
-        .state = decodeJobState(message.state()) };
+        .state = decodeJobState(message.state()),
+        .notStorable = message.not_storable() };
     for (const auto& [kind, result] : results) {
         if (result == message.result())
             answer.kind = kind;
--- a/libs/node/src/clients/OwnerAnswer.h
+++ b/libs/node/src/clients/OwnerAnswer.h
@@ -31,6 +31,8 @@
     Duration retryAfter {};
     Shards::ShardName redirect {};
     Shards::JobState state { Shards::JobState::Queued };
+    /// With Refused: the store cannot hold the job, so that it would be refused again.
+    bool notStorable { false };
 };
 
 using OwnerAnswerCallback = std::function<void(const OwnerAnswer&)>;
--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -40,8 +40,14 @@
     , shard_(shard)
     , handlers_(std::move(handlers))
     , state_(hasDurableJobs ? State::OpeningExisting : State::NoDurableJobs)
-    , book_(Shards::DurableJobTable::Options { .retention = context.settings.stateRetention })
-    , journal_(context.loop, store, shard, epoch)
+    , book_(Shards::DurableJobTable::Options { .retention = context.settings.stateRetention,
+          .stateLimits =
+              [this](const Shards::JobSpec& spec) {
+                  // An entry of a former version may have accepted a job that does not fit.
+                  return storedStateLimits(spec, maxValueBytes())
+                      .value_or(Shards::StoredStateLimits { .maxOpenOccurrences = 1, .maxListedCompletions = 0 });
+              } })
+    , journal_(context.loop, store, shard, epoch, maxValueBytes())
     , writeTimer_(context.loop)
     , alive_(std::make_shared<bool>(true))
 {
@@ -80,6 +86,8 @@
     std::size_t malformed = 0;
     for (const auto& [id, job] : decodeJournal(rows, malformed))
         book_.restore(id, job.spec, job.state);
+    if (!journal_.withinOpenLimits())
+        book_.expectStartsBeyondLimits(unixMs());
     context_.log.event("journal.opened",
         { { "shard", shard_.value }, { "rows", std::uint64_t { rows.size() } },
             { "unfinished_jobs", std::uint64_t { book_.unfinishedJobs() } },
@@ -136,6 +144,11 @@
         return;
     }
     const auto id = spec->id;
+    if (!book_.contains(id) && !storedStateLimits(*spec, maxValueBytes())) {
+        context_.log.event("job.refused", { { "id", id.value }, { "shard", shard_.value }, { "reason", "size" } });
+        callback({ .kind = OwnerAnswer::Kind::Refused, .notStorable = true });
+        return;
+    }
     if (!book_.contains(id) && monotonicNow() < refuseUntil_) {
         context_.log.event("job.refused", { { "id", id.value }, { "shard", shard_.value }, { "reason", "store" } });
         callback({ .kind = OwnerAnswer::Kind::Refused, .retryAfter = outageRetryAfter });
@@ -234,7 +247,8 @@
     writing_ = true;
     const auto sentAt = monotonicNow();
     lastWriteAt_ = sentAt;
-    const auto encoded = encodeBatch(batch);
+    auto encoded = encodeBatch(batch);
+    encoded.withinOpenLimits = batch.withinOpenLimits;
     journal_.write(encoded, [this, batch = std::move(batch), sentAt](ShardJournal::Outcome outcome) {
         writing_ = false;
         if (state_ != State::Open)
@@ -289,6 +303,8 @@
     }
 }
 
+std::size_t DurableJobs::maxValueBytes() const { return Platform::maxValueBytes(context_.settings.storeRowBytes); }
+
 void DurableJobs::submitDueJobs()
 {
     const auto now = monotonicNow();
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -52,7 +52,8 @@
 
     /// True if the job is already accepted or being stored, so that it needs no admission decision.
     bool knows(const JobId&) const;
-    /// Stores the job. Answers with Accepted, Refused, InDoubt, Unavailable or NotOwner.
+    /// Stores the job. Answers with Accepted, Refused, InDoubt, Unavailable or NotOwner. A job that does not fit into
+    /// the store is refused as not storable.
     void submit(std::shared_ptr<const Shards::JobSpec>, OwnerAnswerCallback);
     /// Answers with Known, UnknownJob, Unavailable or NotOwner.
     void query(const JobId&, OwnerAnswerCallback);
@@ -94,6 +95,7 @@
     void writeNow();
     void handleWritten(const Shards::JournalBatch&, TimePoint sentAt);
     void handleWriteFailed(const Shards::JournalBatch&);
+    std::size_t maxValueBytes() const;
     void submitDueJobs();
     void answer(std::multimap<JobId, OwnerAnswerCallback>&, const JobId&, const OwnerAnswer&);
 
--- a/libs/node/src/durable/JournalCodec.h
+++ b/libs/node/src/durable/JournalCodec.h
@@ -4,6 +4,7 @@
 
 #include "balsammill/shards/DurableJobTable.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 
@@ -15,6 +16,11 @@
     std::optional<Shards::JobStateRecord> state;
 };
 
+/// Limits under which each state of the job fits into rows of this size, whatever the order in which its occurrences
+/// end, for run numbers below 2^28. Empty if the job does not fit: its specification, or the state of one occurrence.
+std::optional<Shards::StoredStateLimits> storedStateLimits(const Shards::JobSpec&, std::size_t maxValueBytes);
+/// Encodes a change as rows to write and to remove.
+ShardJournal::Write encodeChange(const Shards::JournalChange&);
 /// Encodes a batch as rows to write and to remove.
 ShardJournal::Write encodeBatch(const Shards::JournalBatch&);
 /// Groups the rows of a journal by job. Malformed rows are counted and skipped.
--- a/libs/node/src/durable/ShardJournal.cpp
+++ b/libs/node/src/durable/ShardJournal.cpp
@@ -30,12 +30,13 @@
 
 } // namespace
 
-ShardJournal::ShardJournal(
-    boost::asio::io_context& context, Platform::Store& store, const Shards::ShardName& shard, Epoch epoch)
+ShardJournal::ShardJournal(boost::asio::io_context& context, Platform::Store& store, const Shards::ShardName& shard,
+    Epoch epoch, std::size_t stateRowBytes)
     : store_(store)
     , retryTimer_(context)
     , partition_(shard.value)
     , epoch_(epoch)
+    , stateRowBytes_(stateRowBytes)
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -47,11 +48,13 @@
     return { .table = journalTable, .part = partition_, .key = key, .value = value, .version = {} };
 }
 
-Platform::Row ShardJournal::fenceRow(std::uint64_t batches) const
+Platform::Row ShardJournal::fenceRow(std::uint64_t batches, bool withinOpenLimits) const
 {
     balsammill::internal::JournalFence fence;
     fence.set_epoch(epoch_.value);
     fence.set_batches(batches);
+    if (withinOpenLimits)
+        fence.set_open_limit_row_bytes(stateRowBytes_);
     auto result = row(fenceKey, fence.SerializeAsString());
     result.version = fenceVersion_;
     return result;
@@ -78,6 +81,7 @@
     if (fromKey.empty()) {
         rows_.clear();
         fenceVersion_ = {};
+        withinOpenLimits_ = true;
     }
     store_.read({ .table = journalTable, .part = partition_, .from = fromKey }, monotonicNow() + callTimeout,
         [this, alive = alive_](const auto& result) {
@@ -96,6 +100,8 @@
                 std::exchange(opened_, nullptr)(std::nullopt);
                 return;
             }
+            if (fence)
+                withinOpenLimits_ = fence->open_limit_row_bytes() == stateRowBytes_;
             for (const auto& each : result.rows) {
                 if (each.key == fenceKey)
                     fenceVersion_ = each.version;
@@ -112,7 +118,7 @@
 void ShardJournal::writeFence()
 {
     // A write of a former owner after the pages were read changes the fence row, so that this conditional write fails.
-    const auto fence = fenceRow(0);
+    const auto fence = fenceRow(0, withinOpenLimits_);
     store_.write({ .conditions = { fence }, .puts = { fence } }, monotonicNow() + callTimeout,
         [this, alive = alive_](const Platform::RowsResult& result) {
             if (*alive)
@@ -142,7 +148,7 @@
 
 void ShardJournal::attempt()
 {
-    const auto fence = fenceRow(batches_ + 1);
+    const auto fence = fenceRow(batches_ + 1, pending_.withinOpenLimits);
     Platform::Transaction transaction { .conditions = { fence }, .puts = { fence } };
     for (const auto& put : pending_.puts)
         transaction.puts.push_back(row(put.key, put.value));
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -27,6 +27,8 @@
     struct Write {
         std::vector<Row> puts {};
         std::vector<std::string> removals {};
+        /// Each job has at most as many open occurrences as the limits for rows of stateRowBytes permit.
+        bool withinOpenLimits { true };
     };
     enum class Outcome {
         Written,
@@ -39,11 +41,16 @@
     using OpenCallback = std::function<void(const std::optional<std::vector<Row>>&)>;
     using WriteCallback = std::function<void(Outcome)>;
 
-    ShardJournal(boost::asio::io_context&, Platform::Store&, const Shards::ShardName&, Epoch);
+    /// stateRowBytes: largest value of a row, from which the limits of open occurrences follow.
+    ShardJournal(
+        boost::asio::io_context&, Platform::Store&, const Shards::ShardName&, Epoch, std::size_t stateRowBytes);
     ~ShardJournal();
     ShardJournal(const ShardJournal&) = delete;
     ShardJournal& operator=(const ShardJournal&) = delete;
 
+    /// True if the open occurrences of each job were within the limits that this owner uses when the journal was last
+    /// written. Known once the journal is open; true for a new one.
+    bool withinOpenLimits() const { return withinOpenLimits_; }
     /// Reads the journal and fences earlier owners. Retries until the store answers.
     void open(OpenCallback);
     /// Writes a batch; only one write may be in flight. Retries until the result is known.
@@ -58,7 +65,7 @@
     void finishWrite(Outcome);
     void retryLater(void (ShardJournal::*action)());
     Platform::Row row(const std::string& key, const std::string& value) const;
-    Platform::Row fenceRow(std::uint64_t batches) const;
+    Platform::Row fenceRow(std::uint64_t batches, bool withinOpenLimits) const;
     void restartOpen() { readPage({}); }
 
     Platform::Store& store_;
@@ -68,6 +75,8 @@
     // Version of the fence row; 0 if there is none.
     Platform::RowVersion fenceVersion_;
     std::uint64_t batches_ { 0 };
+    std::size_t stateRowBytes_;
+    bool withinOpenLimits_ { true };
     std::vector<Row> rows_;
     OpenCallback opened_;
     Write pending_;
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -29,11 +29,11 @@
         ownLoop.run([this] { store.reset(); });
     }
 
-    std::shared_ptr<ShardJournal> journal(std::uint64_t epoch)
+    std::shared_ptr<ShardJournal> journal(std::uint64_t epoch, std::size_t stateRowBytes = 49'152)
     {
         return ownLoop.run([&] {
             return std::make_shared<ShardJournal>(
-                ownLoop.context(), *store, Shards::ShardName("valencia/0"), Epoch(epoch));
+                ownLoop.context(), *store, Shards::ShardName("valencia/0"), Epoch(epoch), stateRowBytes);
         });
     }
     void drop(std::shared_ptr<ShardJournal>& journal)
@@ -130,3 +130,35 @@
     fixture.drop(journal);
     fixture.drop(next);
 }
+
+// Guards against an owner that does not know of runs that the former one has started, because that one did not keep to
+// the same limit of open occurrences: it is of a former version, or has another setting.
+TEST_CASE("A journal tells its next owner whether open occurrences were limited as it limits them itself")
+{
+    Fixture fixture;
+    auto first = fixture.journal(1);
+    REQUIRE(fixture.open(*first).has_value());
+    CHECK(first->withinOpenLimits());
+    auto second = fixture.journal(2);
+    REQUIRE(fixture.open(*second).has_value());
+    CHECK(second->withinOpenLimits());
+    CHECK(fixture.write(*second, { .puts = { { "a", "1" } }, .withinOpenLimits = false })
+        == ShardJournal::Outcome::Written);
+    // It stays so across owners until a write says otherwise.
+    for (const std::uint64_t epoch : { 3U, 4U }) {
+        auto next = fixture.journal(epoch);
+        REQUIRE(fixture.open(*next).has_value());
+        CHECK_FALSE(next->withinOpenLimits());
+        if (epoch == 4U)
+            CHECK(fixture.write(*next, {}) == ShardJournal::Outcome::Written);
+        fixture.drop(next);
+    }
+    auto kept = fixture.journal(5);
+    REQUIRE(fixture.open(*kept).has_value());
+    CHECK(kept->withinOpenLimits());
+    auto otherSetting = fixture.journal(6, 4'096);
+    REQUIRE(fixture.open(*otherSetting).has_value());
+    CHECK_FALSE(otherSetting->withinOpenLimits());
+    for (auto* each : { &first, &second, &kept, &otherSetting })
+        fixture.drop(*each);
+}
--- a/libs/shards/include/balsammill/shards/DurableJobTable.h
+++ b/libs/shards/include/balsammill/shards/DurableJobTable.h
@@ -22,6 +22,9 @@
     bool removeSpec { false };
     /// Remove the stored state of an expired job.
     bool removeState { false };
+
+    /// The state has the compact form, which former versions cannot read.
+    bool hasCompactState() const { return newState && newState->completions; }
 };
 
 /// Changes that are written in one transaction.
@@ -32,6 +35,8 @@
     /// Jobs that are accepted, or visible as ended, once the batch is written.
     std::vector<JobId> accepted;
     std::vector<JobId> ended;
+    /// Each job has at most StoredStateLimits::maxOpenOccurrences open occurrences, as the store knows them.
+    bool withinOpenLimits { true };
 };
 
 /// An occurrence that the engine has to run.
@@ -55,9 +60,10 @@
         /// Limits of a batch; they follow from the transaction limits of the store.
         std::size_t maxRows { 96 };
         std::size_t maxBytes { 500'000 };
+        /// Limits of the stored state of a job; null if there are none.
+        std::function<StoredStateLimits(const JobSpec&)> stateLimits {};
     };
     using ProgressReader = std::function<std::optional<JobProgress>(const OccurrenceKey&)>;
-
     DurableJobTable();
     explicit DurableJobTable(const Options&);
     ~DurableJobTable();
@@ -66,6 +72,9 @@
 
     /// Loads a job from the store.
     void restore(const JobId&, std::shared_ptr<const JobSpec>, const std::optional<JobStateRecord>&);
+    /// The former owner of the restored jobs may have started any occurrence that was due, without regard to
+    /// StoredStateLimits::maxOpenOccurrences. To be called after restore().
+    void expectStartsBeyondLimits(std::int64_t nowUnixMs);
 
     /// Returns false if the job is already accepted, true if a batch has to be written first.
     bool submit(std::shared_ptr<const JobSpec>);
@@ -110,13 +119,20 @@
     void setAccepted(Entry&);
     void updateWaitingCount(const Entry&, bool before, bool after);
     static JobStateRecord recordOf(const Entry&);
-    /// Moves the unwritten marks of a job into the batch. The entry is null if the table no longer has the job.
-    void takeProgress(const JobId&, Entry*, const ProgressReader&, JournalBatch&);
+    bool areOpenLimitsKept();
+    StoredStateLimits limitsOf(const JobSpec&) const;
+    /// Updates the job's progress from the engine. The entry is null if the table no longer has the job.
+    void readProgress(const JobId&, Entry*, const ProgressReader&);
+    /// Moves the unwritten marks of a job into the batch.
+    void takeMarks(const JobId&, JournalBatch&);
+    static JournalChange changeOf(const JobId&, const Entry&);
 
     Options options_;
     std::map<JobId, std::unique_ptr<Entry>> entries_;
     // Jobs with changes to write.
     std::set<JobId> dirty_;
+    // Jobs that may have more open occurrences than their limit.
+    std::set<JobId> beyondLimits_;
     // Newest progress mark of the engine for each occurrence, until a batch records it. Kept apart from the entries,
     // since the acknowledgement of ends waits for each mark, whatever happens to its job meanwhile.
     std::map<OccurrenceKey, ProgressMark> unwritten_;
--- a/libs/shards/include/balsammill/shards/JobState.h
+++ b/libs/shards/include/balsammill/shards/JobState.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "balsammill/shards/CompletedOccurrences.h"
 #include "balsammill/shards/JobProgress.h"
 
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -37,6 +40,18 @@
     std::vector<OccurrenceRecord> occurrences {};
     /// Unix time in milliseconds at which the state became final; 0 until then.
     std::int64_t endedUnixMs { 0 };
+    /// The compact form, for a job with many completed occurrences: they are listed here and not in occurrences.
+    std::optional<CompletedOccurrences> completions {};
+
+    std::size_t completedOccurrences() const;
+};
+
+/// Bounds that keep the stored state of a job within a row of the store.
+struct StoredStateLimits {
+    /// Occurrences that may be open at a time, those included whose completion is not stored yet.
+    std::uint32_t maxOpenOccurrences { std::numeric_limits<std::uint32_t>::max() };
+    /// Completed occurrences that are listed one by one; with more of them the state has the compact form.
+    std::uint32_t maxListedCompletions { std::numeric_limits<std::uint32_t>::max() };
 };
 
 } // namespace Balsammill::Shards
--- a/libs/shards/src/DurableJobTable.cpp
+++ b/libs/shards/src/DurableJobTable.cpp
@@ -5,11 +5,6 @@
 namespace Balsammill::Shards {
 
 struct DurableJobTable::Entry {
-    struct Occurrence {
-        bool completed { false };
-        JobProgress progress {};
-    };
-
     // Null once the state is final.
     std::shared_ptr<const JobSpec> spec;
     // Needed for the counts by queue after the specification is released.
@@ -21,10 +16,30 @@
     bool specWritten { false };
     bool removing { false };
     std::int64_t endedUnixMs { 0 };
-    std::map<std::uint32_t, Occurrence> occurrences;
+    CompletedOccurrences completed;
+    // Progress of occurrences that are not completed.
+    std::map<std::uint32_t, JobProgress> open;
     std::uint32_t nextOccurrence { 0 };
+    // Occurrences below this number may have been started by a former owner.
+    std::uint32_t mayHaveStartedBelow { 0 };
+    // Occurrences that takeDue() has returned, and those of them that are completed in the store. A later owner has to
+    // continue the others: it takes as many of the lowest occurrences that are not completed in the store.
+    std::size_t taken { 0 };
+    std::size_t storedCompletions { 0 };
+    std::size_t restoredCompletions { 0 };
+    StoredStateLimits limits;
+    // The stored specification has the form that goes with the compact state.
+    bool compactWritten { false };
     bool restored { false };
 
+    bool isCompact() const { return compactWritten || completed.count() > limits.maxListedCompletions; }
+    std::size_t openInStore() const { return taken - (storedCompletions - restoredCompletions); }
+    bool mayTakeNext() const
+    {
+        return nextOccurrence < mayHaveStartedBelow || openInStore() < limits.maxOpenOccurrences;
+    }
+    bool hasProgress() const { return !open.empty() || completed.count() > 0; }
+
     std::uint32_t occurrenceCount() const { return spec->schedule ? spec->schedule->count : 1; }
     std::int64_t dueUnixMs(std::uint32_t occurrence) const
     {
@@ -72,8 +87,15 @@
     if (record) {
         entry->state = entry->visibleState = record->state;
         entry->endedUnixMs = record->endedUnixMs;
-        for (const auto& each : record->occurrences)
-            entry->occurrences[each.occurrence] = { .completed = each.completed, .progress = each.progress };
+        entry->compactWritten = record->completions.has_value();
+        entry->completed = record->completions.value_or(CompletedOccurrences());
+        for (const auto& each : record->occurrences) {
+            if (each.completed)
+                entry->completed.insert(each.occurrence);
+            else
+                entry->open[each.occurrence] = each.progress;
+        }
+        entry->storedCompletions = entry->restoredCompletions = entry->completed.count();
     }
     setAccepted(*entry);
     if (isFinal(entry->state)) {
@@ -81,11 +103,43 @@
         ended_.emplace(entry->endedUnixMs, id);
     } else {
         entry->spec = std::move(spec);
+        entry->limits = limitsOf(*entry->spec);
         jobsWithPendingOccurrences_.insert(id);
     }
     entries_[id] = std::move(entry);
 }
 
+void DurableJobTable::expectStartsBeyondLimits(std::int64_t nowUnixMs)
+{
+    // The clock of the former owner may have been ahead.
+    constexpr std::int64_t clockMarginMs = 5'000;
+    for (const auto& [id, entry] : entries_) {
+        if (isFinal(entry->state))
+            continue;
+        const auto count = entry->occurrenceCount();
+        while (entry->mayHaveStartedBelow < count
+            && entry->dueUnixMs(entry->mayHaveStartedBelow) <= nowUnixMs + clockMarginMs)
+            ++entry->mayHaveStartedBelow;
+        beyondLimits_.insert(id);
+    }
+}
+
+bool DurableJobTable::areOpenLimitsKept()
+{
+    std::erase_if(beyondLimits_, [this](const JobId& id) {
+        const auto* entry = find(id);
+        return entry == nullptr || isFinal(entry->visibleState)
+            || (entry->nextOccurrence >= entry->mayHaveStartedBelow
+                && entry->openInStore() <= entry->limits.maxOpenOccurrences);
+    });
+    return beyondLimits_.empty();
+}
+
+StoredStateLimits DurableJobTable::limitsOf(const JobSpec& spec) const
+{
+    return options_.stateLimits ? options_.stateLimits(spec) : StoredStateLimits {};
+}
+
 bool DurableJobTable::submit(std::shared_ptr<const JobSpec> spec)
 {
     const auto id = spec->id;
@@ -93,6 +147,7 @@
         return !existing->accepted;
     auto entry = std::make_unique<Entry>();
     entry->queue = spec->queue;
+    entry->limits = limitsOf(*spec);
     entry->spec = std::move(spec);
     entries_[id] = std::move(entry);
     dirty_.insert(id);
@@ -164,25 +219,31 @@
 
 void DurableJobTable::recordProgress(const ProgressChanged& change)
 {
-    if (auto* entry = find(change.job.job); entry != nullptr && !isFinal(entry->state))
-        entry->occurrences.try_emplace(change.job.occurrence);
+    if (auto* entry = find(change.job.job);
+        entry != nullptr && !isFinal(entry->state) && !entry->completed.contains(change.job.occurrence))
+        entry->open.try_emplace(change.job.occurrence);
     // Also for a job that is not in the table any more: its next batch records the mark.
     unwritten_[change.job] = change.mark;
     dirty_.insert(change.job.job);
 }
 
-void DurableJobTable::takeProgress(const JobId& id, Entry* entry, const ProgressReader& progressOf, JournalBatch& batch)
+void DurableJobTable::readProgress(const JobId& id, Entry* entry, const ProgressReader& progressOf)
+{
+    if (entry == nullptr)
+        return;
+    for (auto it = unwritten_.lower_bound({ .job = id }); it != unwritten_.end() && it->first.job == id; ++it) {
+        const auto occurrence = entry->open.find(it->first.occurrence);
+        if (occurrence == entry->open.end())
+            continue;
+        if (auto progress = progressOf(it->first))
+            occurrence->second = std::move(*progress);
+    }
+}
+
+void DurableJobTable::takeMarks(const JobId& id, JournalBatch& batch)
 {
     for (auto it = unwritten_.lower_bound({ .job = id }); it != unwritten_.end() && it->first.job == id;) {
-        const auto& [key, mark] = *it;
-        if (entry != nullptr) {
-            const auto occurrence = entry->occurrences.find(key.occurrence);
-            if (occurrence != entry->occurrences.end()) {
-                if (auto progress = progressOf(key))
-                    occurrence->second.progress = std::move(*progress);
-            }
-        }
-        batch.progress.push_back({ .job = key, .mark = mark });
+        batch.progress.push_back({ .job = it->first, .mark = it->second });
         it = unwritten_.erase(it);
     }
 }
@@ -193,10 +254,9 @@
     if (entry == nullptr || isFinal(entry->state))
         return;
     if (result == JobResult::Completed) {
-        entry->occurrences[key.occurrence].completed = true;
-        const auto completed = std::count_if(entry->occurrences.begin(), entry->occurrences.end(),
-            [](const auto& each) { return each.second.completed; });
-        if (static_cast<std::uint32_t>(completed) == entry->occurrenceCount())
+        entry->completed.insert(key.occurrence);
+        entry->open.erase(key.occurrence);
+        if (entry->completed.count() >= entry->occurrenceCount())
             finish(*entry, JobState::Completed, nowUnixMs);
     } else {
         finish(*entry, JobState::Failed, nowUnixMs);
@@ -210,17 +270,20 @@
     for (auto it = jobsWithPendingOccurrences_.begin(); it != jobsWithPendingOccurrences_.end();) {
         auto& entry = *entries_.at(*it);
         const auto count = isFinal(entry.state) ? 0 : entry.occurrenceCount();
-        while (entry.nextOccurrence < count && entry.dueUnixMs(entry.nextOccurrence) <= nowUnixMs) {
+        while (
+            entry.nextOccurrence < count && entry.mayTakeNext() && entry.dueUnixMs(entry.nextOccurrence) <= nowUnixMs) {
             const auto number = entry.nextOccurrence++;
-            const auto existing = entry.occurrences.find(number);
-            if (existing != entry.occurrences.end() && existing->second.completed)
+            if (entry.completed.contains(number))
                 continue;
             DueOccurrence next {
                 .key = { .job = *it, .occurrence = number }, .spec = entry.spec, .dueUnixMs = entry.dueUnixMs(number)
             };
-            if (entry.restored)
-                next.inherited = existing == entry.occurrences.end() ? JobProgress {} : existing->second.progress;
+            if (entry.restored) {
+                const auto existing = entry.open.find(number);
+                next.inherited = existing == entry.open.end() ? JobProgress {} : existing->second;
+            }
             due.push_back(std::move(next));
+            ++entry.taken;
         }
         it = entry.nextOccurrence >= count ? jobsWithPendingOccurrences_.erase(it) : std::next(it);
     }
@@ -246,46 +309,55 @@
     JobStateRecord record { .state = entry.state, .endedUnixMs = entry.endedUnixMs };
     if (isFinal(entry.state))
         return record;
-    for (const auto& [number, occurrence] : entry.occurrences) {
-        OccurrenceRecord each { .occurrence = number, .completed = occurrence.completed };
-        if (!occurrence.completed)
-            each.progress = occurrence.progress;
-        record.occurrences.push_back(std::move(each));
+    if (entry.isCompact()) {
+        record.completions = entry.completed;
+    } else {
+        for (const auto number : entry.completed.toVector())
+            record.occurrences.push_back({ .occurrence = number, .completed = true });
     }
+    for (const auto& [number, progress] : entry.open)
+        record.occurrences.push_back({ .occurrence = number, .progress = progress });
     return record;
 }
 
+JournalChange DurableJobTable::changeOf(const JobId& id, const Entry& entry)
+{
+    JournalChange change { .job = id };
+    if (entry.removing) {
+        change.removeState = true;
+        return change;
+    }
+    const bool final = isFinal(entry.state);
+    if (final || entry.hasProgress())
+        change.newState = recordOf(entry);
+    const bool formChanges = change.hasCompactState() && !entry.compactWritten;
+    if ((!entry.specWritten || formChanges) && !final)
+        change.newSpec = entry.spec;
+    change.removeSpec = final && entry.specWritten;
+    return change;
+}
+
 JournalBatch DurableJobTable::takeBatch(const ProgressReader& progressOf)
 {
     JournalBatch batch;
+    batch.withinOpenLimits = areOpenLimitsKept();
     std::size_t rows = 0;
     std::size_t bytes = 0;
     while (!dirty_.empty() && rows + 2 <= options_.maxRows && bytes < options_.maxBytes) {
         const auto id = *dirty_.begin();
         dirty_.erase(dirty_.begin());
         auto* existing = find(id);
-        takeProgress(id, existing, progressOf, batch);
+        readProgress(id, existing, progressOf);
+        takeMarks(id, batch);
         if (existing == nullptr)
             continue;
-        auto& entry = *existing;
-        JournalChange change { .job = id };
-        if (entry.removing) {
-            change.removeState = true;
-            batch.changes.push_back(std::move(change));
-            ++rows;
-            continue;
-        }
-        const bool final = isFinal(entry.state);
-        if (!entry.specWritten && !final)
-            change.newSpec = entry.spec;
+        const auto& entry = *existing;
+        auto change = changeOf(id, entry);
         if (!entry.accepted)
             batch.accepted.push_back(id);
-        if (final || !entry.occurrences.empty())
-            change.newState = recordOf(entry);
-        change.removeSpec = final && entry.specWritten;
-        if (final && !isFinal(entry.visibleState))
+        if (change.newState && isFinal(entry.state) && !isFinal(entry.visibleState))
             batch.ended.push_back(id);
-        rows += 2;
+        rows += change.removeState ? 1 : 2;
         bytes += change.newSpec ? change.newSpec->payload.size() + 256 * change.newSpec->steps.size() : 256;
         batch.changes.push_back(std::move(change));
     }
@@ -304,6 +376,9 @@
             continue;
         }
         entry->specWritten = (entry->specWritten || change.newSpec != nullptr) && !change.removeSpec;
+        entry->compactWritten = entry->compactWritten || change.hasCompactState();
+        if (change.newState && !isFinal(change.newState->state))
+            entry->storedCompletions = change.newState->completedOccurrences();
         if (!entry->accepted && !isFinal(entry->state))
             jobsWithPendingOccurrences_.insert(change.job);
         setAccepted(*entry);
@@ -311,7 +386,8 @@
             --unfinished_;
             entry->visibleState = change.newState->state;
             entry->spec.reset();
-            entry->occurrences.clear();
+            entry->open.clear();
+            entry->completed = {};
             jobsWithPendingOccurrences_.erase(change.job);
             ended_.emplace(entry->endedUnixMs, change.job);
         }
--- a/standin/operators/OperatorStore.cpp
+++ b/standin/operators/OperatorStore.cpp
@@ -39,6 +39,10 @@
 
 constexpr std::string_view controlPrefix = "/control/";
 constexpr std::size_t maxRowsPerPage = 500;
+constexpr std::size_t maxTransactionEntries = 100;
+constexpr std::size_t maxTransactionBytes = 1'000'000;
+// Larger than a transaction may be, so that this class and not its server rejects a transaction.
+constexpr std::size_t maxRequestBytes = 4'000'000;
 
 void writeRow(Writer& writer, const std::string& table, const std::string& part, const std::string& key,
     const std::string& value, std::uint64_t version)
@@ -88,6 +92,7 @@
 
 OperatorStore::OperatorStore(LoopThread& loop, const Options& options)
     : loop_(loop)
+    , rowBytes_(options.rowBytes)
     , random_(options.seed)
 {
     loop_.run([this, &options] {
@@ -96,6 +101,7 @@
             [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) {
                 handle(request, exchange);
             });
+        server_->setLimits({ .maxBodyBytes = maxRequestBytes });
         address_ = server_->localAddress().value;
     });
 }
@@ -153,6 +159,23 @@
     return loop_.run([&] { return writes_; });
 }
 
+std::uint64_t OperatorStore::rejectedWrites()
+{
+    return loop_.run([&] { return rejectedWrites_; });
+}
+
+std::size_t OperatorStore::largestValue(const std::string& keyPart)
+{
+    return loop_.run([&] {
+        std::size_t largest = 0;
+        for (const auto& [key, bytes] : largestValues_) {
+            if (key.find(keyPart) != std::string::npos)
+                largest = std::max(largest, bytes);
+        }
+        return largest;
+    });
+}
+
 void OperatorStore::runAfter(std::chrono::milliseconds delay, std::function<void()> action)
 {
     if (delay.count() == 0) {
@@ -255,6 +278,9 @@
         exchange->respond({ .status = 503, .fields = {}, .body = {} });
     else if (path == "/balsammill/rows-tx")
         handleWrite(request, exchange);
+    else if (path == "/balsammill/rows-get" && faults_.refuseEveryNthRead > 0
+        && ++reads_ % faults_.refuseEveryNthRead == 0)
+        exchange->respond({ .status = 503, .fields = {}, .body = {} });
     else if (path == "/balsammill/rows-get")
         handleRead(query, *exchange);
     else if (path == "/balsammill/rows-feed")
@@ -263,11 +289,37 @@
         exchange->respond({ .status = 404, .fields = {}, .body = {} });
 }
 
+std::string OperatorStore::rejectionOf(const HttpRequest& request, const rapidjson::Document& body) const
+{
+    if (!body.IsObject())
+        return "not a JSON object";
+    const auto entries = body["precondition"].Size() + body["puts"].Size() + body["remove"].Size();
+    if (entries > maxTransactionEntries || request.body.size() > maxTransactionBytes)
+        return "the transaction has " + std::to_string(entries) + " entries and " + std::to_string(request.body.size())
+            + " bytes";
+    for (const auto& put : body["puts"].GetArray()) {
+        const std::string key = put["key"].GetString();
+        if (put["value"].GetStringLength() > rowBytes_)
+            return "the row " + key + " has " + std::to_string(put["value"].GetStringLength()) + " bytes";
+        if (!faults_.rejectedKey.empty() && key.find(faults_.rejectedKey) != std::string::npos)
+            return "the row " + key + " is rejected";
+    }
+    return {};
+}
+
 void OperatorStore::handleWrite(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
 {
     ++writes_;
     rapidjson::Document body;
     body.Parse(request.body.data(), request.body.size());
+    if (const auto reason = rejectionOf(request, body); !reason.empty()) {
+        ++rejectedWrites_;
+        if (answersToDrop_ > 0)
+            --answersToDrop_;
+        else
+            exchange->respond({ .status = 400, .fields = {}, .body = R"({"error":")" + reason + "\"}" });
+        return;
+    }
     const auto keyOf = [](const rapidjson::Value& row) {
         return Key { row["table"].GetString(), row["part"].GetString(), row["key"].GetString() };
     };
@@ -290,8 +342,11 @@
     writer.EndArray();
     if (preconditionHolds) {
         ++version_;
-        for (const auto& put : body["puts"].GetArray())
+        for (const auto& put : body["puts"].GetArray()) {
             rows_[keyOf(put)] = { .value = decode(put["value"].GetString()), .version = version_, .deleted = false };
+            auto& largest = largestValues_[put["key"].GetString()];
+            largest = std::max<std::size_t>(largest, put["value"].GetStringLength());
+        }
         for (const auto& removal : body["remove"].GetArray())
             rows_[keyOf(removal)] = { .value = {}, .version = version_, .deleted = true };
     }
--- a/standin/operators/OperatorStore.h
+++ b/standin/operators/OperatorStore.h
@@ -4,6 +4,8 @@
 
 #include "balsammill/http/HttpServer.h"
 
+#include <rapidjson/document.h>
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -27,11 +29,15 @@
     std::chrono::milliseconds answerJitter {};
     /// Writes above this rate are refused with status 429; 0 means unlimited.
     double writesPerSecond { 0 };
+    /// Each read with this position is answered with status 503; 0 for none.
+    std::uint64_t refuseEveryNthRead { 0 };
+    /// Transactions that put a row whose key contains this text are answered with status 400; empty for none.
+    std::string rejectedKey {};
 };
 
 /// Stand-in for the operators' store that implements its published protocol: versioned rows, conditional writes and a
-/// change feed. It can refuse every call, delay calls, drop the answers of writes that took effect, and discard its
-/// change history.
+/// change feed. Transactions beyond the limits of the protocol are answered with status 400. It can refuse every call,
+/// delay calls, drop the answers of writes that took effect, and discard its change history.
 ///
 /// Tests in other processes use "PUT /control/rows/TABLE/KEY" (the value is the body) and "DELETE" on the same path to
 /// write rows as the platform and its operators do, and "PUT /control/faults" with a JSON object of "outage",
@@ -42,6 +48,8 @@
         std::uint16_t port { 0 };
         /// Seed of the choice of lost answers and of the answer jitter.
         std::uint64_t seed { 1 };
+        /// Largest value of a row, in bytes of its base64 form.
+        std::size_t rowBytes { 65'536 };
     };
 
     explicit OperatorStore(LoopThread&);
@@ -60,6 +68,10 @@
     /// Feed requests that start before the current version are then answered with status 410.
     void discardHistory();
     std::uint64_t writes();
+    /// Number of transactions that were answered with status 400.
+    std::uint64_t rejectedWrites();
+    /// Base64 bytes of the largest value that was written to a row whose key contains this text.
+    std::size_t largestValue(const std::string& keyPart);
 
 private:
     struct Row {
@@ -89,6 +101,8 @@
     void runAfter(std::chrono::milliseconds delay, std::function<void()> action);
     void setRow(const std::string& table, const std::string& key, const std::string& value, bool deleted);
     void handleWrite(const Balsammill::HttpRequest&, const std::shared_ptr<Balsammill::HttpExchange>&);
+    /// Why a transaction is beyond the limits of the protocol or rejected by the faults; empty if it is not.
+    std::string rejectionOf(const Balsammill::HttpRequest&, const rapidjson::Document&) const;
     void handleRead(const std::map<std::string, std::string>& query, Balsammill::HttpExchange&);
     void handleFeed(const std::map<std::string, std::string>& query, const std::shared_ptr<Balsammill::HttpExchange>&);
     std::string changesAfter(const std::string& table, std::uint64_t after) const;
@@ -102,6 +116,10 @@
     std::uint64_t version_ { 0 };
     std::uint64_t oldestFeedVersion_ { 0 };
     std::uint64_t writes_ { 0 };
+    std::uint64_t rejectedWrites_ { 0 };
+    std::uint64_t reads_ { 0 };
+    std::size_t rowBytes_;
+    std::map<std::string, std::size_t> largestValues_;
     int answersToDrop_ { 0 };
     StoreFaults faults_;
     std::mt19937_64 random_;
--- a/tests/platform/Fleet.cpp
+++ b/tests/platform/Fleet.cpp
@@ -64,7 +64,8 @@
     : options_(options)
     , advice_(loop_, options.advisedUpstreams)
 {
-    store_ = std::make_unique<Standin::OperatorStore>(loop_);
+    store_ = std::make_unique<Standin::OperatorStore>(
+        loop_, Standin::OperatorStore::Options { .rowBytes = options.rowBytes });
     configure(1);
     // Test processes that start at the same time use different blocks: findPortPair() does not keep a port bound, so
     // another process could take it before the entry binds it.
@@ -95,7 +96,7 @@
             for (const auto& each : options.domains)
                 text << each << " = \"mindanao-north\"\n";
             text << "[bounds]\nmax_hold_ms = 1000\nstop_grace_ms = 50\ngrace_s = 6\n"
-                 << "[platform]\naddress = \"" << store_->address() << "\"\n";
+                 << "[platform]\naddress = \"" << store_->address() << "\"\nrow_bytes = " << options.rowBytes << "\n";
             if (!options.limits.empty())
                 text << "[limits]\n"
                      << options.limits[std::min(static_cast<std::size_t>(i), options.limits.size() - 1)] << "\n";
--- a/tests/platform/Fleet.h
+++ b/tests/platform/Fleet.h
@@ -45,6 +45,8 @@
         /// Lines of the table "limits" in the settings of each entry; one string for each entry of a domain, the last
         /// one for all further ones.
         std::vector<std::string> limits {};
+        /// Largest value of a row of the store, in bytes of its base64 form.
+        std::size_t rowBytes { 65'536 };
         /// Extra environment variables of the entries.
         std::map<std::string, std::string> environment {};
     };
