Keep the cost of a handover and of a stored batch in proportion to the jobs

Found while reading the paths related to the unbounded state: for each job that an owner handed over, it went through all runs of all upstreams, and for each progress mark of a stored batch through all unrecorded ends. Both grow with the square of the occurrences. The handover listed every stored job, also those that were never started, of which the store has everything; a connection between entries is closed with more than 8 MB of unsent output.

Runs are now grouped by job first, marks are looked up, and durable jobs without a run are left out of the handover.

--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -275,8 +275,7 @@
     const auto now = monotonicNow();
     context_.metrics.observe("balsammill_journal_write_time_ms", {}, toMs(now - sentAt));
     book_.handleWritten(batch);
-    for (const auto& progress : batch.progress)
-        engine_.handleRecorded(progress.job, progress.mark);
+    engine_.handleRecorded(batch.progress);
     for (const auto& id : batch.ended) {
         if (book_.stateOf(id) == Shards::JobState::Cancelled)
             engine_.cancelDurable(id, now);
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -148,8 +148,12 @@
     void cancelDurable(const JobId&, TimePoint now);
     /// Empty if this engine has no such unfinished occurrence.
     std::optional<JobProgress> progressOf(const OccurrenceKey&) const;
-    /// The progress of the job up to this mark is in the store.
-    void handleRecorded(const OccurrenceKey&, ProgressMark);
+    /// The progress of each of these jobs up to its mark is in the store.
+    void handleRecorded(const std::vector<ProgressChanged>&);
+    void handleRecorded(const OccurrenceKey& job, ProgressMark mark)
+    {
+        handleRecorded({ { .job = job, .mark = mark } });
+    }
 
     // Handing a shard over. The earlier owner takes no further action once it has exported its jobs. The next owner's
     // fencing token invalidates the messages that are still in flight, and reports show which runs exist.
--- a/libs/shards/src/ShardEngineDurable.cpp
+++ b/libs/shards/src/ShardEngineDurable.cpp
@@ -1,6 +1,7 @@
 #include "ShardEngineDetail.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace Balsammill::Shards {
 
@@ -87,16 +88,26 @@
         upstream.unrecorded.push_back({ .sequence = end.sequence, .job = key, .mark = *mark });
 }
 
-void ShardEngine::handleRecorded(const OccurrenceKey& key, ProgressMark mark)
+void ShardEngine::handleRecorded(const std::vector<ProgressChanged>& recorded)
 {
-    for (auto& [id, upstream] : upstreams_)
-        std::erase_if(
-            upstream.unrecorded, [&](const UnrecordedEnd& each) { return each.job == key && each.mark <= mark; });
-    if (auto* job = findJob(key); job != nullptr && job->unrecorded && *job->unrecorded <= mark)
-        job->unrecorded.reset();
-    const auto ended = unrecordedJobs_.find(key);
-    if (ended != unrecordedJobs_.end() && ended->second.mark <= mark)
-        unrecordedJobs_.erase(ended);
+    std::unordered_map<OccurrenceKey, ProgressMark> marks;
+    for (const auto& each : recorded) {
+        auto& mark = marks[each.job];
+        mark = std::max(mark, each.mark);
+    }
+    for (auto& [id, upstream] : upstreams_) {
+        std::erase_if(upstream.unrecorded, [&marks](const UnrecordedEnd& each) {
+            const auto found = marks.find(each.job);
+            return found != marks.end() && each.mark <= found->second;
+        });
+    }
+    for (const auto& [key, mark] : marks) {
+        if (auto* job = findJob(key); job != nullptr && job->unrecorded && *job->unrecorded <= mark)
+            job->unrecorded.reset();
+        const auto ended = unrecordedJobs_.find(key);
+        if (ended != unrecordedJobs_.end() && ended->second.mark <= mark)
+            unrecordedJobs_.erase(ended);
+    }
 }
 
 bool ShardEngine::hasUnrecordedEnds(const UpstreamId& id) const
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -1,11 +1,23 @@
 #include "ShardEngineDetail.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace Balsammill::Shards {
 
 std::vector<TransferredJob> ShardEngine::exportJobs() const
 {
+    std::unordered_map<OccurrenceKey, std::vector<ExpectedRun>> runs;
+    for (const auto& [id, upstream] : upstreams_) {
+        for (const auto& [task, run] : upstream.runs) {
+            if (!run.job.empty())
+                runs[run.job].push_back({ .step = task.step,
+                    .index = task.index,
+                    .run = run.number,
+                    .upstream = id,
+                    .startSentAt = run.startSentAt });
+        }
+    }
     std::vector<TransferredJob> exported;
     for (const auto& [key, job] : jobs_) {
         TransferredJob each { .key = key,
@@ -26,16 +38,12 @@
                         .startSentAt = tasks[index].expectedOrderedAt });
             }
         }
-        for (const auto& [id, upstream] : upstreams_) {
-            for (const auto& [task, run] : upstream.runs) {
-                if (run.job == key)
-                    each.expected.push_back({ .step = task.step,
-                        .index = task.index,
-                        .run = run.number,
-                        .upstream = id,
-                        .startSentAt = run.startSentAt });
-            }
-        }
+        if (const auto found = runs.find(key); found != runs.end())
+            each.expected.insert(each.expected.end(), found->second.begin(), found->second.end());
+        // The store has all there is to know of a durable job that was never started.
+        const bool neverStarted = each.progress.highestRun.value == 0 && each.expected.empty() && !job->unrecorded;
+        if (job->spec->durable && neverStarted)
+            continue;
         exported.push_back(std::move(each));
     }
     for (const auto& [key, ended] : unrecordedJobs_)
--- a/libs/shards/tests/JobTransferTests.cpp
+++ b/libs/shards/tests/JobTransferTests.cpp
@@ -275,3 +275,22 @@
     engine.handleRecorded(handover.key, *mark);
     CHECK_EQ(engine.lastEndToAcknowledge(u1), 2);
 }
+
+// Guards against a handover that grows with the backlog of stored jobs beyond the size of a message.
+TEST_CASE("A handover leaves out durable jobs that were never started")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1", 32'000));
+    for (int i = 0; i < 10; ++i) {
+        auto spec = makeSpec({ .id = "job" + std::to_string(i), .milliCores = 20'000 });
+        spec.durable = true;
+        fixture.engine.submitDurable({ .job = spec.id }, std::make_shared<const JobSpec>(spec), at(0));
+    }
+    CHECK(fixture.engine.exportJobs().empty());
+    const auto starts = fixture.scheduleAndTake<StartTask>(0);
+    REQUIRE_EQ(starts.size(), 1);
+    const auto exported = fixture.engine.exportJobs();
+    REQUIRE_EQ(exported.size(), 1);
+    CHECK_EQ(exported[0].key.job, starts[0].task.job);
+    CHECK_EQ(exported[0].expected.size(), 1);
+}
