--- a/libs/node/src/durable/ShardJournal.cpp
+++ b/libs/node/src/durable/ShardJournal.cpp
@@ -84,14 +84,16 @@
         withinOpenLimits_ = true;
     }
     store_.read({ .table = journalTable, .part = partition_, .from = fromKey }, monotonicNow() + callTimeout,
-        [this, alive = alive_](const auto& result) {
+        [this, alive = alive_, fromKey](const auto& result) {
             if (!*alive)
                 return;
             // A fence row that cannot be decoded may belong to a later owner.
             const bool fenceUnreadable = std::any_of(result.rows.begin(), result.rows.end(),
                 [](const Platform::Row& each) { return each.key == fenceKey && each.malformedValue; });
             if (result.status != Platform::StoreStatus::Ok || fenceUnreadable) {
-                retryLater(&ShardJournal::restartOpen);
+                // The pages before stay valid: a later change of the journal changes the fence row as well.
+                nextPageKey_ = fromKey;
+                retryLater(&ShardJournal::repeatPage);
                 return;
             }
             retryDelay_ = Duration::zero();
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Balsammill {
@@ -67,6 +68,7 @@
     Platform::Row row(const std::string& key, const std::string& value) const;
     Platform::Row fenceRow(std::uint64_t batches, bool withinOpenLimits) const;
     void restartOpen() { readPage({}); }
+    void repeatPage() { readPage(std::exchange(nextPageKey_, {})); }
 
     Platform::Store& store_;
     Timer retryTimer_;
@@ -78,6 +80,8 @@
     std::size_t stateRowBytes_;
     bool withinOpenLimits_ { true };
     std::vector<Row> rows_;
+    // First key of the page that is read again after a failed attempt.
+    std::string nextPageKey_;
     OpenCallback opened_;
     Write pending_;
     WriteCallback written_;
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -131,6 +131,33 @@
     fixture.drop(next);
 }
 
+// Guards against an owner that reads a large journal from the beginning after each failed page and never gets to its
+// end.
+TEST_CASE("A journal of several pages is opened although every second read is refused")
+{
+    Fixture fixture;
+    auto journal = fixture.journal(1);
+    REQUIRE(fixture.open(*journal).has_value());
+    constexpr int rows = 1'700;
+    for (int first = 0; first < rows; first += 85) {
+        ShardJournal::Write write;
+        for (int i = first; i < first + 85; ++i)
+            write.puts.push_back({ "row" + std::to_string(10'000 + i), std::to_string(i) });
+        REQUIRE(fixture.write(*journal, write) == ShardJournal::Outcome::Written);
+    }
+    fixture.operatorStore.setFaults({ .refuseEveryNthRead = 2 });
+    auto next = fixture.journal(2);
+    std::promise<std::size_t> opened;
+    fixture.ownLoop.run([&] { next->open([&](const auto& read) { opened.set_value(read ? read->size() : 0); }); });
+    auto result = opened.get_future();
+    const bool answered = result.wait_for(20s) == std::future_status::ready;
+    CHECK(answered);
+    if (answered)
+        CHECK_EQ(result.get(), rows);
+    fixture.drop(next);
+    fixture.drop(journal);
+}
+
 // Guards against an owner that does not know of runs that the former one has started, because that one did not keep to
 // the same limit of open occurrences: it is of a former version, or has another setting.
 TEST_CASE("A journal tells its next owner whether open occurrences were limited as it limits them itself")
