--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -1,5 +1,7 @@
 #include "DurableJobs.h"
 
+#include "JournalBatchEncoder.h"
+
 #include <algorithm>
 #include <chrono>
 #include <iterator>
@@ -39,15 +41,18 @@
     , engine_(engine)
     , shard_(shard)
     , handlers_(std::move(handlers))
+    , maxValueBytes_(Platform::maxValueBytes(context.settings.storeRowBytes))
     , state_(hasDurableJobs ? State::OpeningExisting : State::NoDurableJobs)
     , book_(Shards::DurableJobTable::Options { .retention = context.settings.stateRetention,
+          .maxRows = Platform::maxTransactionEntries - ShardJournal::fenceEntries,
           .stateLimits =
               [this](const Shards::JobSpec& spec) {
                   // An entry of a former version may have accepted a job that does not fit.
-                  return storedStateLimits(spec, maxValueBytes())
+                  return storedStateLimits(spec, maxValueBytes_)
                       .value_or(Shards::StoredStateLimits { .maxOpenOccurrences = 1, .maxListedCompletions = 0 });
               } })
-    , journal_(context.loop, store, shard, epoch, maxValueBytes())
+    , journal_(
+          context.loop, store, shard, epoch, { .stateRowBytes = maxValueBytes_, .linkMbps = context.settings.linkMbps })
     , writeTimer_(context.loop)
     , alive_(std::make_shared<bool>(true))
 {
@@ -144,7 +149,7 @@
         return;
     }
     const auto id = spec->id;
-    if (!book_.contains(id) && !storedStateLimits(*spec, maxValueBytes())) {
+    if (!book_.contains(id) && !storedStateLimits(*spec, maxValueBytes_)) {
         context_.log.event("job.refused", { { "id", id.value }, { "shard", shard_.value }, { "reason", "size" } });
         callback({ .kind = OwnerAnswer::Kind::Refused, .notStorable = true });
         return;
@@ -219,8 +224,11 @@
         return;
     const auto now = monotonicNow();
     // Limits the writes of all shards together to the journals' share of the store's write rate.
-    const auto minWriteInterval = Duration(static_cast<Duration::rep>(1e6 * static_cast<double>(shardCount_)
-        / (journalWriteShare * std::max(context_.settings.storeWritesPerSecond, 1.0))));
+    const auto shareInterval = 1e6 * static_cast<double>(shardCount_)
+        / (journalWriteShare * std::max(context_.settings.storeWritesPerSecond, 1.0));
+    // The journal of a shard is one partition.
+    const auto partitionInterval = 1e6 / std::max(context_.settings.storePartitionWritesPerSecond, 1.0);
+    const auto minWriteInterval = Duration(static_cast<Duration::rep>(std::max(shareInterval, partitionInterval)));
     const auto writeDelay
         = book_.hasUrgentChanges() ? minWriteInterval : std::max(minWriteInterval, progressBatchDelay);
     const auto due = std::max(lastWriteAt_ + writeDelay, retryAt_);
@@ -243,13 +251,15 @@
 
 void DurableJobs::writeNow()
 {
-    auto batch = book_.takeBatch([this](const Shards::OccurrenceKey& key) { return engine_.progressOf(key); });
+    JournalBatchEncoder encoder(journal_);
+    auto batch = book_.takeBatch([this](const Shards::OccurrenceKey& key) { return engine_.progressOf(key); },
+        [&encoder](const Shards::JournalChange& change) { return encoder.add(change); });
     writing_ = true;
     const auto sentAt = monotonicNow();
     lastWriteAt_ = sentAt;
-    auto encoded = encodeBatch(batch);
-    encoded.withinOpenLimits = batch.withinOpenLimits;
-    journal_.write(encoded, [this, batch = std::move(batch), sentAt](ShardJournal::Outcome outcome) {
+    auto write = encoder.take();
+    write.withinOpenLimits = batch.withinOpenLimits;
+    journal_.write(write, [this, batch = std::move(batch), sentAt](ShardJournal::Outcome outcome) {
         writing_ = false;
         if (state_ != State::Open)
             return;
@@ -302,8 +312,6 @@
     }
 }
 
-std::size_t DurableJobs::maxValueBytes() const { return Platform::maxValueBytes(context_.settings.storeRowBytes); }
-
 void DurableJobs::submitDueJobs()
 {
     const auto now = monotonicNow();
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -95,7 +95,6 @@
     void writeNow();
     void handleWritten(const Shards::JournalBatch&, TimePoint sentAt);
     void handleWriteFailed(const Shards::JournalBatch&);
-    std::size_t maxValueBytes() const;
     void submitDueJobs();
     void answer(std::multimap<JobId, OwnerAnswerCallback>&, const JobId&, const OwnerAnswer&);
 
@@ -103,6 +102,8 @@
     Shards::ShardEngine& engine_;
     Shards::ShardName shard_;
     Handlers handlers_;
+    // Largest value of a row. Kept when the settings change, as the next owner is told by the fence row.
+    const std::size_t maxValueBytes_;
     State state_;
     Shards::DurableJobTable book_;
     ShardJournal journal_;
--- a/libs/node/src/durable/ShardJournal.cpp
+++ b/libs/node/src/durable/ShardJournal.cpp
@@ -3,6 +3,7 @@
 #include "balsammill/internal/shard.pb.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Balsammill {
@@ -17,6 +18,10 @@
 // Exponential backoff after failed calls.
 constexpr Duration initialRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(400);
+// A write that occupies the link for longer would delay the other traffic of this process.
+constexpr Duration maxTransferTime = std::chrono::milliseconds(250);
+// Other traffic shares the link.
+constexpr int transferTimeSafetyFactor = 4;
 
 std::optional<balsammill::internal::JournalFence> findFence(const std::vector<Platform::Row>& rows)
 {
@@ -31,12 +36,13 @@
 } // namespace
 
 ShardJournal::ShardJournal(boost::asio::io_context& context, Platform::Store& store, const Shards::ShardName& shard,
-    Epoch epoch, std::size_t stateRowBytes)
+    Epoch epoch, const Options& options)
     : store_(store)
     , retryTimer_(context)
     , partition_(shard.value)
     , epoch_(epoch)
-    , stateRowBytes_(stateRowBytes)
+    , stateRowBytes_(options.stateRowBytes)
+    , linkMbps_(options.linkMbps)
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -148,6 +154,33 @@
     attempt();
 }
 
+Duration ShardJournal::transferTime(std::size_t bytes) const
+{
+    // A bandwidth of 1 Mbit/s transfers one bit in 1 us.
+    return linkMbps_ > 0 ? Duration(static_cast<Duration::rep>(static_cast<double>(bytes) * 8 / linkMbps_))
+                         : Duration::zero();
+}
+
+std::size_t ShardJournal::encodedBytes(const Write& write) const
+{
+    std::size_t bytes = 0;
+    for (const auto& put : write.puts)
+        bytes += Platform::encodedPutBytes(row(put.key, put.value));
+    for (const auto& key : write.removals)
+        bytes += Platform::encodedRemovalBytes(row(key, {}));
+    return bytes;
+}
+
+std::size_t ShardJournal::maxWriteBytes() const
+{
+    const auto fence = fenceRow(std::numeric_limits<std::uint64_t>::max(), true);
+    const auto limit = Platform::maxTransactionBytes
+        - Platform::encodeTransaction({ .conditions = { fence }, .puts = { fence } }).size();
+    if (linkMbps_ <= 0)
+        return limit;
+    return std::min(limit, static_cast<std::size_t>(static_cast<double>(maxTransferTime.count()) * linkMbps_ / 8));
+}
+
 void ShardJournal::attempt()
 {
     const auto fence = fenceRow(batches_ + 1, pending_.withinOpenLimits);
@@ -156,7 +189,8 @@
         transaction.puts.push_back(row(put.key, put.value));
     for (const auto& key : pending_.removals)
         transaction.removals.push_back(row(key, {}));
-    store_.write(transaction, monotonicNow() + callTimeout, [this, alive = alive_](const Platform::RowsResult& result) {
+    const auto timeout = callTimeout + transferTime(encodedBytes(pending_)) * transferTimeSafetyFactor;
+    store_.write(transaction, monotonicNow() + timeout, [this, alive = alive_](const Platform::RowsResult& result) {
         if (*alive)
             handleWritten(result);
     });
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -38,13 +38,20 @@
         /// Another owner has opened the journal.
         Fenced,
     };
+    /// Entries of each transaction for the fence row: a condition and a put.
+    static constexpr std::size_t fenceEntries = 2;
     /// Receives the rows; empty if a later owner has opened the journal.
     using OpenCallback = std::function<void(const std::optional<std::vector<Row>>&)>;
     using WriteCallback = std::function<void(Outcome)>;
 
-    /// stateRowBytes: largest value of a row, from which the limits of open occurrences follow.
-    ShardJournal(
-        boost::asio::io_context&, Platform::Store&, const Shards::ShardName&, Epoch, std::size_t stateRowBytes);
+    struct Options {
+        /// Largest value of a row, from which the limits of open occurrences follow.
+        std::size_t stateRowBytes { 0 };
+        /// Bandwidth of this VM's link; 0 if unknown.
+        double linkMbps { 0 };
+    };
+
+    ShardJournal(boost::asio::io_context&, Platform::Store&, const Shards::ShardName&, Epoch, const Options&);
     ~ShardJournal();
     ShardJournal(const ShardJournal&) = delete;
     ShardJournal& operator=(const ShardJournal&) = delete;
@@ -57,6 +64,11 @@
     /// Writes a batch; only one write may be in flight. Retries until the result is known.
     void write(const Write&, WriteCallback);
 
+    /// Bytes that the rows add to a transaction, as encoded.
+    std::size_t encodedBytes(const Write&) const;
+    /// Limit of encodedBytes() for one write: what a transaction may have, and what the link transfers in a short time.
+    std::size_t maxWriteBytes() const;
+
 private:
     void readPage(const std::string& fromKey);
     void writeFence();
@@ -67,6 +79,7 @@
     void retryLater(void (ShardJournal::*action)());
     Platform::Row row(const std::string& key, const std::string& value) const;
     Platform::Row fenceRow(std::uint64_t batches, bool withinOpenLimits) const;
+    Duration transferTime(std::size_t bytes) const;
     void restartOpen() { readPage({}); }
     void repeatPage() { readPage(std::exchange(nextPageKey_, {})); }
 
@@ -74,10 +87,11 @@
     Timer retryTimer_;
     std::string partition_;
     Epoch epoch_;
+    std::size_t stateRowBytes_;
+    double linkMbps_;
     // Version of the fence row; 0 if there is none.
     Platform::RowVersion fenceVersion_;
     std::uint64_t batches_ { 0 };
-    std::size_t stateRowBytes_;
     bool withinOpenLimits_ { true };
     std::vector<Row> rows_;
     // First key of the page that is read again after a failed attempt.
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -1,4 +1,5 @@
 #include "OperatorStore.h"
+#include "durable/JournalBatchEncoder.h"
 #include "durable/ShardJournal.h"
 
 #include <doctest/doctest.h>
@@ -29,11 +30,11 @@
         ownLoop.run([this] { store.reset(); });
     }
 
-    std::shared_ptr<ShardJournal> journal(std::uint64_t epoch, std::size_t stateRowBytes = 49'152)
+    std::shared_ptr<ShardJournal> journal(std::uint64_t epoch, double linkMbps = 0, std::size_t stateRowBytes = 49'152)
     {
         return ownLoop.run([&] {
-            return std::make_shared<ShardJournal>(
-                ownLoop.context(), *store, Shards::ShardName("valencia/0"), Epoch(epoch), stateRowBytes);
+            return std::make_shared<ShardJournal>(ownLoop.context(), *store, Shards::ShardName("valencia/0"),
+                Epoch(epoch), ShardJournal::Options { .stateRowBytes = stateRowBytes, .linkMbps = linkMbps });
         });
     }
     void drop(std::shared_ptr<ShardJournal>& journal)
@@ -131,6 +132,37 @@
     fixture.drop(next);
 }
 
+// Guards against a batch beyond the limits of a transaction, and one that occupies a slow link for longer than the
+// store's answer may take, so that it is repeated without an end.
+TEST_CASE("A batch stays within a transaction and within what the link transfers in a short time")
+{
+    Fixture fixture;
+    for (const double linkMbps : { 0.0, 2.0, 1'000.0 }) {
+        CAPTURE(linkMbps);
+        auto journal = fixture.journal(1, linkMbps);
+        REQUIRE(fixture.open(*journal).has_value());
+        JournalBatchEncoder encoder(*journal);
+        std::size_t changes = 0;
+        const auto jobOf = [](std::size_t number) {
+            auto spec = std::make_shared<Shards::JobSpec>();
+            spec->id = JobId("00000000000000" + std::to_string(10 + number));
+            spec->payload = std::string(30'000, '\xff');
+            return Shards::JournalChange { .job = spec->id, .newSpec = spec };
+        };
+        while (changes < 40 && encoder.add(jobOf(changes)))
+            ++changes;
+        CHECK_GT(changes, 0);
+        CHECK_LT(changes, 40);
+        const auto write = encoder.take();
+        CHECK_EQ(write.puts.size(), changes);
+        if (linkMbps == 2.0)
+            CHECK_LE(fixture.ownLoop.run([&] { return journal->encodedBytes(write); }), 62'500);
+        CHECK(fixture.write(*journal, write) == ShardJournal::Outcome::Written);
+        CHECK_EQ(fixture.operatorStore.rejectedWrites(), 0);
+        fixture.drop(journal);
+    }
+}
+
 // Guards against an owner that reads a large journal from the beginning after each failed page and never gets to its
 // end.
 TEST_CASE("A journal of several pages is opened although every second read is refused")
@@ -183,7 +215,7 @@
     auto kept = fixture.journal(5);
     REQUIRE(fixture.open(*kept).has_value());
     CHECK(kept->withinOpenLimits());
-    auto otherSetting = fixture.journal(6, 4'096);
+    auto otherSetting = fixture.journal(6, 0, 4'096);
     REQUIRE(fixture.open(*otherSetting).has_value());
     CHECK_FALSE(otherSetting->withinOpenLimits());
     for (auto* each : { &first, &second, &kept, &otherSetting })
--- a/libs/routing/include/balsammill/routing/NodeSettings.h
+++ b/libs/routing/include/balsammill/routing/NodeSettings.h
@@ -30,6 +30,8 @@
     NetworkAddress adviceAddress {};
     /// Writes per second that the store accepts from all entries together.
     double storeWritesPerSecond { 800 };
+    /// Transactions per second that the store accepts for one partition.
+    double storePartitionWritesPerSecond { 200 };
     /// Largest value of a row of the store, in bytes of its encoded form.
     std::size_t storeRowBytes { 65'536 };
     /// Processor time that this process may use, in cores; VMs with more of it are preferred as shard owners.
--- a/libs/shards/include/balsammill/shards/DurableJobTable.h
+++ b/libs/shards/include/balsammill/shards/DurableJobTable.h
@@ -57,13 +57,15 @@
     struct Options {
         /// How long the state of an ended job is kept.
         Duration retention { std::chrono::seconds(120) };
-        /// Limits of a batch; they follow from the transaction limits of the store.
+        /// Rows of a batch; the limit follows from that of a transaction of the store.
         std::size_t maxRows { 96 };
-        std::size_t maxBytes { 500'000 };
         /// Limits of the stored state of a job; null if there are none.
         std::function<StoredStateLimits(const JobSpec&)> stateLimits {};
     };
     using ProgressReader = std::function<std::optional<JobProgress>(const OccurrenceKey&)>;
+    /// Adds a change to a transaction. Returns false if the change does not fit into it beside those added before.
+    using ChangeSink = std::function<bool(const JournalChange&)>;
+
     DurableJobTable();
     explicit DurableJobTable(const Options&);
     ~DurableJobTable();
@@ -94,8 +96,9 @@
     /// Marks ended jobs whose retention is over for removal; a later batch removes them from the store.
     void expire(std::int64_t nowUnixMs);
 
-    /// Returns the next batch to write; empty if nothing has changed. Only one batch may be outstanding.
-    JournalBatch takeBatch(const ProgressReader&);
+    /// Returns the next batch to write; empty if nothing has changed. Only one batch may be outstanding. The sink, if
+    /// there is one, receives each change of the batch; it has to accept the first one.
+    JournalBatch takeBatch(const ProgressReader&, const ChangeSink& = {});
     /// The store has confirmed the batch.
     void handleWritten(const JournalBatch&);
     /// The batch was not written and never will be. Jobs that it would have accepted are dropped; the other changes
--- a/libs/shards/src/DurableJobTable.cpp
+++ b/libs/shards/src/DurableJobTable.cpp
@@ -337,29 +337,28 @@
     return change;
 }
 
-JournalBatch DurableJobTable::takeBatch(const ProgressReader& progressOf)
+JournalBatch DurableJobTable::takeBatch(const ProgressReader& progressOf, const ChangeSink& sink)
 {
     JournalBatch batch;
     batch.withinOpenLimits = areOpenLimitsKept();
-    std::size_t rows = 0;
-    std::size_t bytes = 0;
-    while (!dirty_.empty() && rows + 2 <= options_.maxRows && bytes < options_.maxBytes) {
+    for (std::size_t rows = 0; !dirty_.empty() && rows + 2 <= options_.maxRows;) {
         const auto id = *dirty_.begin();
-        dirty_.erase(dirty_.begin());
         auto* existing = find(id);
         readProgress(id, existing, progressOf);
+        if (existing != nullptr) {
+            const auto& entry = *existing;
+            auto change = changeOf(id, entry);
+            if (sink && !sink(change))
+                break;
+            if (!entry.accepted)
+                batch.accepted.push_back(id);
+            if (change.newState && isFinal(entry.state) && !isFinal(entry.visibleState))
+                batch.ended.push_back(id);
+            rows += change.removeState ? 1 : 2;
+            batch.changes.push_back(std::move(change));
+        }
         takeMarks(id, batch);
-        if (existing == nullptr)
-            continue;
-        const auto& entry = *existing;
-        auto change = changeOf(id, entry);
-        if (!entry.accepted)
-            batch.accepted.push_back(id);
-        if (change.newState && isFinal(entry.state) && !isFinal(entry.visibleState))
-            batch.ended.push_back(id);
-        rows += change.removeState ? 1 : 2;
-        bytes += change.newSpec ? change.newSpec->payload.size() + 256 * change.newSpec->steps.size() : 256;
-        batch.changes.push_back(std::move(change));
+        dirty_.erase(id);
     }
     urgent_ = urgent_ && !dirty_.empty();
     return batch;
