Isolate a change that the store rejects

Callers of a whole shard saw cancels without an answer and new jobs refused once the store had rejected one row of one job. Each 4xx counted as a store that does not take writes at present, so the change went into every later batch together with the changes of all other jobs, without an end.

The client of the store tells a rejected request from one that is refused for now. A rejected batch is split until single changes are left, in turns with batches of all other changes; a single change is blamed once the store has taken a write without it. A job that was not accepted is dropped and its client answered with 413; an accepted job is ended as failed; if that state is rejected too, nothing is written for the job until the next owner. It is logged once with job, row, bytes and effect, and counted. Ownership records that are rejected are logged and written again after 2 s.

StoreLimitTests, "A row that the store rejects delays no other job", makes the stand-in reject a small row, so that it shows this fault without the one of the size of states.

--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -199,6 +199,10 @@
         });
         return;
     }
+    if (state_ == State::Open && book_.isSetAside(id)) {
+        callback({ .kind = OwnerAnswer::Kind::Unavailable });
+        return;
+    }
     if (state_ != State::Open || !book_.cancel(id, unixMs())) {
         query(id, callback);
         return;
@@ -272,6 +276,10 @@
             context_.metrics.add("balsammill_journal_writes_total", R"(outcome="refused")");
             handleWriteFailed(batch);
             return;
+        case ShardJournal::Outcome::Rejected:
+            context_.metrics.add("balsammill_journal_writes_total", R"(outcome="rejected")");
+            handleRejected(batch);
+            return;
         case ShardJournal::Outcome::Fenced:
             context_.metrics.add("balsammill_journal_writes_total", R"(outcome="fenced")");
             handlers_.fenced();
@@ -312,6 +320,69 @@
     }
 }
 
+void DurableJobs::handleRejected(const Shards::JournalBatch& batch)
+{
+    if (batch.changes.empty()) {
+        handleWriteFailed(batch);
+    } else if (batch.changes.size() == 1) {
+        probeStore(batch);
+    } else {
+        book_.splitRejected(batch);
+        write();
+    }
+}
+
+void DurableJobs::probeStore(const Shards::JournalBatch& batch)
+{
+    writing_ = true;
+    lastWriteAt_ = monotonicNow();
+    journal_.write({ .withinOpenLimits = batch.withinOpenLimits }, [this, batch](ShardJournal::Outcome outcome) {
+        writing_ = false;
+        if (state_ != State::Open)
+            return;
+        switch (outcome) {
+        case ShardJournal::Outcome::Written:
+            handleChangeRejected(batch);
+            return;
+        case ShardJournal::Outcome::Refused:
+        case ShardJournal::Outcome::Rejected:
+            handleWriteFailed(batch);
+            return;
+        case ShardJournal::Outcome::Fenced:
+            handlers_.fenced();
+            return;
+        }
+    });
+}
+
+void DurableJobs::handleChangeRejected(const Shards::JournalBatch& batch)
+{
+    const auto& change = batch.changes.front();
+    const auto row = largestRow(encodeChange(change));
+    const auto effect = book_.handleChangeRejected(batch, unixMs());
+    std::string_view consequence = "dropped";
+    switch (effect) {
+    case Shards::DurableJobTable::RejectionEffect::SubmissionDropped:
+        answer(submitCallbacks_, change.job, { .kind = OwnerAnswer::Kind::Refused, .notStorable = true });
+        answer(cancelCallbacks_, change.job, { .kind = OwnerAnswer::Kind::UnknownJob });
+        break;
+    case Shards::DurableJobTable::RejectionEffect::JobFailed:
+        consequence = "failed";
+        engine_.cancelDurable(change.job, monotonicNow());
+        break;
+    case Shards::DurableJobTable::RejectionEffect::JobSetAside:
+        consequence = "set_aside";
+        answer(cancelCallbacks_, change.job, { .kind = OwnerAnswer::Kind::Unavailable });
+        break;
+    }
+    context_.log.event("journal.change_rejected",
+        { { "id", change.job.value }, { "shard", shard_.value }, { "row", row.key },
+            { "bytes", std::uint64_t { row.bytes } }, { "effect", consequence } });
+    context_.metrics.add("balsammill_journal_rejected_changes_total", "effect=\"" + std::string(consequence) + "\"");
+    handlers_.schedulingNeeded();
+    write();
+}
+
 void DurableJobs::submitDueJobs()
 {
     const auto now = monotonicNow();
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -95,6 +95,10 @@
     void writeNow();
     void handleWritten(const Shards::JournalBatch&, TimePoint sentAt);
     void handleWriteFailed(const Shards::JournalBatch&);
+    void handleRejected(const Shards::JournalBatch&);
+    /// Finds out whether the store rejects the only change of the batch or each write.
+    void probeStore(const Shards::JournalBatch&);
+    void handleChangeRejected(const Shards::JournalBatch&);
     void submitDueJobs();
     void answer(std::multimap<JobId, OwnerAnswerCallback>&, const JobId&, const OwnerAnswer&);
 
--- a/libs/node/src/durable/JournalBatchEncoder.cpp
+++ b/libs/node/src/durable/JournalBatchEncoder.cpp
@@ -25,4 +25,16 @@
     return true;
 }
 
+LargestRow largestRow(const ShardJournal::Write& write)
+{
+    LargestRow largest;
+    for (const auto& put : write.puts) {
+        if (largest.key.empty() || put.value.size() > largest.bytes)
+            largest = { .key = put.key, .bytes = put.value.size() };
+    }
+    if (largest.key.empty() && !write.removals.empty())
+        largest.key = write.removals.front();
+    return largest;
+}
+
 } // namespace Balsammill
--- a/libs/node/src/durable/JournalBatchEncoder.h
+++ b/libs/node/src/durable/JournalBatchEncoder.h
@@ -5,7 +5,7 @@
 #include "balsammill/shards/DurableJobTable.h"
 
 #include <cstddef>
-#include <utility>
+#include <string>
 
 namespace Balsammill {
 
@@ -25,4 +25,11 @@
     std::size_t bytes_ { 0 };
 };
 
+/// The row of a write with the largest value.
+struct LargestRow {
+    std::string key;
+    std::size_t bytes { 0 };
+};
+LargestRow largestRow(const ShardJournal::Write&);
+
 } // namespace Balsammill
--- a/libs/node/src/durable/ShardJournal.cpp
+++ b/libs/node/src/durable/ShardJournal.cpp
@@ -218,6 +218,13 @@
         finishWrite(Outcome::Written);
         return;
     }
+    case Platform::StoreStatus::Rejected:
+        // Earlier attempts had the same content, so that they have not taken effect either. The number that they carry
+        // is not used again: if one does take effect, the next write finds it and counts as fenced.
+        if (inDoubt_)
+            ++batches_;
+        finishWrite(Outcome::Rejected);
+        return;
     case Platform::StoreStatus::Refused:
     case Platform::StoreStatus::HistoryGone:
         if (!inDoubt_) {
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -33,8 +33,10 @@
     };
     enum class Outcome {
         Written,
-        /// The write has not taken effect and will not.
+        /// The write has not taken effect and will not; the store does not accept writes at present.
         Refused,
+        /// The write has not taken effect and will not; the store rejects it because of its content.
+        Rejected,
         /// Another owner has opened the journal.
         Fenced,
     };
--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -18,6 +18,8 @@
 constexpr Duration writeTimeout = std::chrono::milliseconds(1000);
 // Gives the table follower time to read the record after a write that failed or whose result is unknown.
 constexpr Duration writeRetryDelay = std::chrono::milliseconds(300);
+// Before a record that the store rejects because of its content is written again.
+constexpr Duration rejectedRetryDelay = std::chrono::seconds(2);
 // Upstreams register within their first heartbeat interval; the number of shards is decided after that.
 constexpr Duration layoutDelay = std::chrono::milliseconds(2500);
 // Number of upstreams that an owner with a quarter of a core can serve.
@@ -323,10 +325,19 @@
                 return;
             }
             adoptRows(result);
-            recordState.retryAt = monotonicNow() + writeRetryDelay;
+            recordState.retryAt = retryTimeAfter(result, name);
         });
 }
 
+TimePoint ShardOwnership::retryTimeAfter(const Platform::RowsResult& result, const Shards::ShardName& name)
+{
+    const bool rejected = result.status == Platform::StoreStatus::Rejected;
+    if (rejected)
+        context_.reportBadRecord(
+            "shard.record_rejected", ShardDirectory::table, { { "key", name.value }, { "reason", result.error } });
+    return monotonicNow() + (rejected ? rejectedRetryDelay : writeRetryDelay);
+}
+
 void ShardOwnership::renew(const Shards::ShardName& name, TimePoint now, bool release)
 {
     const auto* current = directory_.find(name);
@@ -365,7 +376,7 @@
                 return;
             }
             adoptRows(result);
-            recordState.retryAt = monotonicNow() + writeRetryDelay;
+            recordState.retryAt = retryTimeAfter(result, name);
         });
 }
 
--- a/libs/node/src/ownership/ShardOwnership.h
+++ b/libs/node/src/ownership/ShardOwnership.h
@@ -110,6 +110,8 @@
     /// Marks the shard's record as having durable jobs with the next write of the record.
     void recordDurableJobs(const Shards::ShardName&);
     void dropShard(const Shards::ShardName&, std::string_view reason);
+    /// When a record is written again after a write that failed.
+    TimePoint retryTimeAfter(const Platform::RowsResult&, const Shards::ShardName&);
     void adoptRows(const Platform::RowsResult&);
     bool isOwnRecord(const ShardOwner&) const;
     Shards::ShardName shardOf(const Shards::UpstreamInfo&) const;
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -132,6 +132,24 @@
     fixture.drop(next);
 }
 
+// Guards against a write that is repeated without an end although the store rejects it because of its content, also
+// when an earlier attempt had no answer.
+TEST_CASE("A write that the store rejects ends, and later writes take effect")
+{
+    Fixture fixture;
+    auto journal = fixture.journal(1);
+    REQUIRE(fixture.open(*journal).has_value());
+    for (const bool answerLost : { false, true }) {
+        CAPTURE(answerLost);
+        fixture.operatorStore.setFaults({ .rejectedKey = "bad" });
+        // The answer to the rejection itself is lost, so that the write is in doubt before it is repeated.
+        fixture.operatorStore.dropNextAnswers(answerLost ? 1 : 0);
+        CHECK(fixture.write(*journal, { .puts = { { "bad", "1" }, { "a", "1" } } }) == ShardJournal::Outcome::Rejected);
+        CHECK(fixture.write(*journal, { .puts = { { "a", "2" } } }) == ShardJournal::Outcome::Written);
+    }
+    fixture.drop(journal);
+}
+
 // Guards against a batch beyond the limits of a transaction, and one that occupies a slow link for longer than the
 // store's answer may take, so that it is repeated without an end.
 TEST_CASE("A batch stays within a transaction and within what the link transfers in a short time")
--- a/libs/shards/include/balsammill/shards/DurableJobTable.h
+++ b/libs/shards/include/balsammill/shards/DurableJobTable.h
@@ -3,6 +3,7 @@
 #include "balsammill/shards/JobState.h"
 #include "balsammill/shards/ShardActions.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -66,6 +67,16 @@
     /// Adds a change to a transaction. Returns false if the change does not fit into it beside those added before.
     using ChangeSink = std::function<bool(const JournalChange&)>;
 
+    /// What becomes of a job whose change the store rejects.
+    enum class RejectionEffect {
+        /// The job was not accepted yet and is dropped.
+        SubmissionDropped,
+        /// The job is ended as failed; the write of that state is still to come.
+        JobFailed,
+        /// The final state of the job cannot be stored either. Nothing is written for the job any more.
+        JobSetAside,
+    };
+
     DurableJobTable();
     explicit DurableJobTable(const Options&);
     ~DurableJobTable();
@@ -104,8 +115,15 @@
     /// The batch was not written and never will be. Jobs that it would have accepted are dropped; the other changes
     /// are written with a later batch.
     void handleWriteFailed(const JournalBatch&);
-
-    bool hasChanges() const { return !dirty_.empty(); }
+    /// The store rejects the batch, which has several changes, because of its content. The changes are written again in
+    /// two smaller batches, which takes turns with batches of all other changes.
+    void splitRejected(const JournalBatch&);
+    /// The store rejects the only change of the batch because of its content, and takes other writes.
+    RejectionEffect handleChangeRejected(const JournalBatch&, std::int64_t nowUnixMs);
+    /// True if the job has ended and the store has rejected its final state.
+    bool isSetAside(const JobId&) const;
+
+    bool hasChanges() const { return !dirty_.empty() || !rejectedGroups_.empty(); }
     /// True if a client may be waiting for a change: a job to be accepted, or a job that has ended.
     bool hasUrgentChanges() const { return hasChanges() && urgent_; }
     /// Number of accepted jobs by queue that have no started task.
@@ -128,12 +146,21 @@
     void readProgress(const JobId&, Entry*, const ProgressReader&);
     /// Moves the unwritten marks of a job into the batch.
     void takeMarks(const JobId&, JournalBatch&);
+    /// Jobs of the next batch, in the order in which they are to be written.
+    std::vector<JobId> nextJobs();
     static JournalChange changeOf(const JobId&, const Entry&);
+    void putBackMarks(const JournalBatch&);
 
     Options options_;
     std::map<JobId, std::unique_ptr<Entry>> entries_;
     // Jobs with changes to write.
     std::set<JobId> dirty_;
+    // Jobs of batches that the store has rejected; each group is written as a batch of its own.
+    std::deque<std::vector<JobId>> rejectedGroups_;
+    // All jobs of rejectedGroups_.
+    std::set<JobId> suspects_;
+    // The last batch was one of rejectedGroups_.
+    bool lastBatchWasGroup_ { false };
     // Jobs that may have more open occurrences than their limit.
     std::set<JobId> beyondLimits_;
     // Newest progress mark of the engine for each occurrence, until a batch records it. Kept apart from the entries,
--- a/libs/shards/src/DurableJobTable.cpp
+++ b/libs/shards/src/DurableJobTable.cpp
@@ -1,6 +1,7 @@
 #include "balsammill/shards/DurableJobTable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Balsammill::Shards {
 
@@ -15,6 +16,8 @@
     bool accepted { false };
     bool specWritten { false };
     bool removing { false };
+    // The final state was rejected by the store.
+    bool setAside { false };
     std::int64_t endedUnixMs { 0 };
     CompletedOccurrences completed;
     // Progress of occurrences that are not completed.
@@ -304,6 +307,12 @@
     }
 }
 
+bool DurableJobTable::isSetAside(const JobId& id) const
+{
+    const auto* entry = find(id);
+    return entry != nullptr && entry->setAside;
+}
+
 JobStateRecord DurableJobTable::recordOf(const Entry& entry)
 {
     JobStateRecord record { .state = entry.state, .endedUnixMs = entry.endedUnixMs };
@@ -337,15 +346,36 @@
     return change;
 }
 
+std::vector<JobId> DurableJobTable::nextJobs()
+{
+    std::vector<JobId> jobs;
+    if (rejectedGroups_.empty() || lastBatchWasGroup_) {
+        for (auto it = dirty_.begin(); it != dirty_.end() && jobs.size() < options_.maxRows; ++it) {
+            if (!suspects_.contains(*it))
+                jobs.push_back(*it);
+        }
+    }
+    lastBatchWasGroup_ = jobs.empty() && !rejectedGroups_.empty();
+    if (lastBatchWasGroup_) {
+        jobs = std::move(rejectedGroups_.front());
+        rejectedGroups_.pop_front();
+        for (const auto& id : jobs)
+            suspects_.erase(id);
+    }
+    return jobs;
+}
+
 JournalBatch DurableJobTable::takeBatch(const ProgressReader& progressOf, const ChangeSink& sink)
 {
     JournalBatch batch;
     batch.withinOpenLimits = areOpenLimitsKept();
-    for (std::size_t rows = 0; !dirty_.empty() && rows + 2 <= options_.maxRows;) {
-        const auto id = *dirty_.begin();
+    const auto jobs = nextJobs();
+    auto next = jobs.begin();
+    for (std::size_t rows = 0; next != jobs.end() && rows + 2 <= options_.maxRows; ++next) {
+        const auto& id = *next;
         auto* existing = find(id);
         readProgress(id, existing, progressOf);
-        if (existing != nullptr) {
+        if (existing != nullptr && !existing->setAside) {
             const auto& entry = *existing;
             auto change = changeOf(id, entry);
             if (sink && !sink(change))
@@ -360,7 +390,11 @@
         takeMarks(id, batch);
         dirty_.erase(id);
     }
-    urgent_ = urgent_ && !dirty_.empty();
+    if (lastBatchWasGroup_ && next != jobs.end()) {
+        rejectedGroups_.emplace_front(next, jobs.end());
+        suspects_.insert(next, jobs.end());
+    }
+    urgent_ = urgent_ && hasChanges();
     return batch;
 }
 
@@ -393,6 +427,15 @@
     }
 }
 
+void DurableJobTable::putBackMarks(const JournalBatch& batch)
+{
+    for (const auto& progress : batch.progress) {
+        auto& unwritten = unwritten_[progress.job];
+        unwritten = std::max(unwritten, progress.mark);
+        dirty_.insert(progress.job.job);
+    }
+}
+
 void DurableJobTable::handleWriteFailed(const JournalBatch& batch)
 {
     for (const auto& change : batch.changes) {
@@ -406,11 +449,45 @@
         dirty_.insert(change.job);
         urgent_ = urgent_ || isFinal(entry->state);
     }
-    for (const auto& progress : batch.progress) {
-        auto& unwritten = unwritten_[progress.job];
-        unwritten = std::max(unwritten, progress.mark);
-        dirty_.insert(progress.job.job);
+    putBackMarks(batch);
+}
+
+void DurableJobTable::splitRejected(const JournalBatch& batch)
+{
+    putBackMarks(batch);
+    const auto half = batch.changes.begin() + static_cast<std::ptrdiff_t>(batch.changes.size() / 2);
+    for (const auto& [first, last] : { std::pair(batch.changes.begin(), half), std::pair(half, batch.changes.end()) }) {
+        std::vector<JobId> group;
+        for (auto it = first; it != last; ++it)
+            group.push_back(it->job);
+        suspects_.insert(group.begin(), group.end());
+        dirty_.insert(group.begin(), group.end());
+        rejectedGroups_.push_back(std::move(group));
+    }
+    urgent_ = true;
+}
+
+DurableJobTable::RejectionEffect DurableJobTable::handleChangeRejected(
+    const JournalBatch& batch, std::int64_t nowUnixMs)
+{
+    const auto& id = batch.changes.front().job;
+    auto* entry = find(id);
+    putBackMarks(batch);
+    if (entry == nullptr || !entry->accepted) {
+        entries_.erase(id);
+        return RejectionEffect::SubmissionDropped;
     }
+    dirty_.insert(id);
+    if (isFinal(batch.changes.front().newState.value_or(JobStateRecord {}).state)
+        || batch.changes.front().removeState) {
+        entry->setAside = true;
+        return RejectionEffect::JobSetAside;
+    }
+    if (!isFinal(entry->state))
+        finish(*entry, JobState::Failed, nowUnixMs);
+    suspects_.insert(id);
+    rejectedGroups_.push_back({ id });
+    return RejectionEffect::JobFailed;
 }
 
 } // namespace Balsammill::Shards
--- a/tests/platform/StoreLimitTests.cpp
+++ b/tests/platform/StoreLimitTests.cpp
@@ -41,6 +41,12 @@
         CHECK_EQ(fleet.stateOf(1, waitingJob(i)), "cancelled");
 }
 
+double counter(const std::string& metrics, const std::string& name)
+{
+    const auto found = metrics.find("\n" + name + " ");
+    return found == std::string::npos ? 0 : std::stod(metrics.substr(found + name.size() + 2));
+}
+
 } // namespace
 
 // Guards against a repeated job whose state outgrows a row of the store, after which nothing of its shard was stored:
@@ -63,6 +69,31 @@
     CHECK_EQ(fleet.violations(), "");
 }
 
+// Guards against a rejected change that goes into every later batch of its shard, so that no other job is stored.
+TEST_CASE("A row that the store rejects delays no other job and is reported once")
+{
+    Fleet fleet({ .name = "rejected-row" });
+    REQUIRE(fleet.waitUntilReady());
+    submitWaitingJobs(fleet, 4);
+    REQUIRE_EQ(fleet.submitDurable(0, jobId(1), 1, 100, allDueFields()).status, 200);
+    fleet.store().setFaults({ .rejectedKey = jobId(1) + "/state" });
+    REQUIRE(waitUntil(in(30s), [&] { return fleet.store().rejectedWrites() > 0; }));
+    checkCancelled(fleet, 4);
+    CHECK_EQ(fleet.submitDurable(0, jobId(2), 3).status, 200);
+    CHECK(fleet.waitForState(jobId(2), "completed"));
+    // A submission of which the store rejects a row is refused, and not for want of room.
+    fleet.store().setFaults({ .rejectedKey = jobId(3) });
+    CHECK_EQ(fleet.submitDurable(0, jobId(3), 1).status, 413);
+    fleet.store().setFaults({});
+    CHECK(waitUntil(in(10s), [&] { return fleet.unacknowledgedEnds() == 0; }));
+    const auto metrics = fleet.metrics(fleet.ownerOf("valencia"));
+    CHECK_EQ(counter(metrics, R"(balsammill_journal_rejected_changes_total{effect="dropped"})"), 1);
+    // The job's state was rejected, and the final state that replaced it.
+    CHECK_EQ(counter(metrics, R"(balsammill_journal_rejected_changes_total{effect="failed"})"), 1);
+    CHECK_EQ(counter(metrics, R"(balsammill_journal_rejected_changes_total{effect="set_aside"})"), 1);
+    CHECK_LE(fleet.store().rejectedWrites(), 20);
+}
+
 // Guards against a job that is accepted although its rows do not fit into the store, and against a refusal that asks
 // the client to submit it again.
 TEST_CASE("A job that cannot be stored is refused at its submission, before anything is written")
