Play repeated jobs and small rows in the soak

The soak had no quantity that comes near a limit of the store. Its stand-in now takes rows of 4,096 bytes of base64, a client submits jobs of 700 short occurrences, which have to complete under all faults, and a transaction beyond the limits of the store is a violation.

--- a/tests/soak/NodeSoak.cpp
+++ b/tests/soak/NodeSoak.cpp
@@ -26,6 +26,9 @@
 namespace {
 
 constexpr int domains = 2;
+// Small rows, so that a state with all occurrences of a repeated job listed would not fit.
+constexpr std::size_t rowBytes = 4'096;
+constexpr int occurrences = 700;
 // Delay of a client whose job was not accepted before it submits the next one.
 constexpr auto refusedClientDelay = 100ms;
 
@@ -69,6 +72,25 @@
     }
 }
 
+// Submits jobs with many short occurrences, one every few seconds. Accepted ones have to complete.
+void runRepeatingClient(const Fleet& fleet, const std::atomic<bool>& stopping, DurableCounts& jobs)
+{
+    for (int i = 0; !stopping; ++i) {
+        const auto id = jobId(6'000'000 + i);
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        const auto answer = fleet.submitDurable(static_cast<std::size_t>(i) % fleet.entryCount(), id, 1, 100,
+            R"("interval_ms":5,"repeat_count":)" + std::to_string(occurrences) + R"(,"first_run_ms":)"
+                + std::to_string(now.count()) + ",");
+        if (answer.status == 200) {
+            const std::lock_guard lock(jobs.mutex);
+            jobs.accepted.insert(id);
+        }
+        for (int wait = 0; wait < 40 && !stopping; ++wait)
+            std::this_thread::sleep_for(refusedClientDelay);
+    }
+}
+
 // Submits durable jobs and cancels them while their tasks run.
 void runCancellingClient(const Fleet& fleet, unsigned seed, const std::atomic<bool>& stopping)
 {
@@ -242,6 +264,7 @@
         .entriesPerDomain = entriesPerDomain,
         .upstreamsPerDomain = 3,
         .runMs = 80,
+        .rowBytes = rowBytes,
         .environment = SuspendedTimeMapping::environment() });
     if (!fleet.waitUntilReady()) {
         std::cout << "seed " << seed << ": the entries did not become ready\n";
@@ -257,6 +280,7 @@
     for (int client = 6; client < 9; ++client)
         clients.emplace_back([&, client] { runDurableClient(fleet, client, stopping, durable); });
     clients.emplace_back([&] { runCancellingClient(fleet, seed, stopping); });
+    clients.emplace_back([&] { runRepeatingClient(fleet, stopping, durable); });
     for (std::size_t entry = 0; entry < fleet.entryCount(); ++entry)
         clients.emplace_back([&, entry] { runPersistentClient(fleet, entry, stopping, jobs); });
     OpenFaults open;
@@ -279,6 +303,8 @@
     auto violations = fleet.violations() + checkDurable(fleet, durable);
     if (!waitUntil(in(20s), [&] { return fleet.unacknowledgedEnds() == 0; }))
         violations += std::to_string(fleet.unacknowledgedEnds()) + " ends are not acknowledged\n";
+    if (const auto rejected = fleet.store().rejectedWrites(); rejected > 0)
+        violations += std::to_string(rejected) + " transactions are beyond the limits of the store\n";
     std::cout << "seed " << seed << ": " << faults << " faults, " << jobs.completed << " jobs completed, "
               << jobs.unanswered << " without a final answer, " << durable.accepted.size() << " stored, "
               << durable.refused.size() << " refused, " << jobs.queries << " queries on open connections, "
