Apply each end to the run that it belongs to

Cause: the engine kept one number for each task, the highest run whose end it had counted, and took every end with a number not above it as repeated. That holds only if ends arrive in the order of the runs and every run of a task has a higher number than the ones counted before. If the end of the tracked run was taken as repeated, the run was removed and the task stayed active without a run, for ever. In the other direction, the end of an older failed run that arrived after that of a newer one was not counted, and a run that had ended as done was forgotten if a later one had failed.

Change: the end of the tracked run always belongs to that run. An end of another run of the task counts as repeated only if that very run has been counted: TaskProgress lists the failed runs. A run that ended as done completes the task whatever was counted before. The expected run of an earlier owner has a number of its own, so that reports and ends of other runs do not change it; a checkpoint of an older run does not replace that of a newer one. The numbers of the earlier failed runs are stored with the state if its row has room for them; without them, as in the records of former versions, an end below the highest counted run counts as included, as before.

--- a/libs/node/src/clients/JobMessageCodec.cpp
+++ b/libs/node/src/clients/JobMessageCodec.cpp
@@ -142,6 +142,8 @@
             row->set_index(static_cast<std::uint32_t>(i));
             row->set_failures(task.failures);
             row->set_counted_run(task.countedRun.value);
+            for (const auto run : task.earlierRuns)
+                row->add_earlier_run_distances(task.countedRun.value - run.value);
         }
     }
     step.set_done(done);
@@ -158,8 +160,12 @@
     for (const auto& row : step.tasks()) {
         if (row.index() >= count)
             continue;
-        tasks[row.index()].failures = row.failures();
-        tasks[row.index()].countedRun = Shards::RunNumber(row.counted_run());
+        auto& task = tasks[row.index()];
+        task.failures = row.failures();
+        task.countedRun = Shards::RunNumber(row.counted_run());
+        for (const auto distance : row.earlier_run_distances())
+            task.earlierRuns.emplace_back(row.counted_run() - std::min(distance, row.counted_run()));
+        std::sort(task.earlierRuns.begin(), task.earlierRuns.end());
     }
     return tasks;
 }
--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -358,7 +358,7 @@
 void DurableJobs::handleChangeRejected(const Shards::JournalBatch& batch)
 {
     const auto& change = batch.changes.front();
-    const auto row = largestRow(encodeChange(change));
+    const auto row = largestRow(encodeChange(change, maxValueBytes_));
     const auto effect = book_.handleChangeRejected(batch, unixMs());
     std::string_view consequence = "dropped";
     switch (effect) {
--- a/libs/node/src/durable/JournalBatchEncoder.cpp
+++ b/libs/node/src/durable/JournalBatchEncoder.cpp
@@ -14,7 +14,7 @@
 
 bool JournalBatchEncoder::add(const Shards::JournalChange& change)
 {
-    auto rows = encodeChange(change);
+    auto rows = encodeChange(change, journal_.stateRowBytes());
     const auto bytes = journal_.encodedBytes(rows);
     const bool empty = write_.puts.empty() && write_.removals.empty();
     if (!empty && bytes_ + bytes > journal_.maxWriteBytes())
--- a/libs/node/src/durable/JournalCodec.cpp
+++ b/libs/node/src/durable/JournalCodec.cpp
@@ -40,6 +40,16 @@
     return state;
 }
 
+void clearEarlierRuns(StoredJobState& state)
+{
+    for (auto& occurrence : *state.mutable_occurrences()) {
+        for (auto& step : *occurrence.mutable_steps()) {
+            for (auto& task : *step.mutable_tasks())
+                task.clear_earlier_run_distances();
+        }
+    }
+}
+
 Shards::JobStateRecord decodeState(const StoredJobState& state)
 {
     Shards::JobStateRecord record { .state = decodeJobState(state.state()), .endedUnixMs = state.ended_unix_ms() };
@@ -161,15 +171,18 @@
         .maxListedCompletions = static_cast<std::uint32_t>(listBytes / listedCompletionBytes(occurrences)) };
 }
 
-ShardJournal::Write encodeChange(const Shards::JournalChange& change)
+ShardJournal::Write encodeChange(const Shards::JournalChange& change, std::size_t maxValueBytes)
 {
     ShardJournal::Write write;
     if (change.newSpec)
         write.puts.push_back(
             { .key = specKey(change.job), .value = encodeSpec(*change.newSpec, change.hasCompactState()) });
-    if (change.newState)
-        write.puts.push_back(
-            { .key = stateKey(change.job), .value = encodeState(*change.newState).SerializeAsString() });
+    if (change.newState) {
+        auto state = encodeState(*change.newState);
+        if (state.ByteSizeLong() > maxValueBytes)
+            clearEarlierRuns(state);
+        write.puts.push_back({ .key = stateKey(change.job), .value = state.SerializeAsString() });
+    }
     if (change.removeSpec)
         write.removals.push_back(specKey(change.job));
     if (change.removeState)
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -66,6 +66,7 @@
     /// Writes a batch; only one write may be in flight. Retries until the result is known.
     void write(const Write&, WriteCallback);
 
+    std::size_t stateRowBytes() const { return stateRowBytes_; }
     /// Bytes that the rows add to a transaction, as encoded.
     std::size_t encodedBytes(const Write&) const;
     /// Limit of encodedBytes() for one write: what a transaction may have, and what the link transfers in a short time.
--- a/libs/node/tests/JournalCodecTests.cpp
+++ b/libs/node/tests/JournalCodecTests.cpp
@@ -31,6 +31,8 @@
     progress.steps[0][0] = { .done = true };
     progress.steps[0][10] = { .done = true };
     progress.steps[0][4] = { .failures = 2, .countedRun = RunNumber(6) };
+    progress.steps[0][7]
+        = { .failures = 3, .countedRun = RunNumber(2'049), .earlierRuns = { RunNumber(2), RunNumber(1'030) } };
     JournalBatch batch;
     batch.changes.push_back({ .job = id,
         .newSpec = job(),
--- a/libs/node/tests/StoredStateSizeTests.cpp
+++ b/libs/node/tests/StoredStateSizeTests.cpp
@@ -88,6 +88,17 @@
     }
 }
 
+/// As failedProgress(), with all run numbers, as far apart as possible.
+JobProgress progressWithEarlierRuns(const JobSpec& spec)
+{
+    auto progress = *failedProgress(spec);
+    for (auto& step : progress.steps) {
+        for (auto& task : step)
+            task.earlierRuns = { RunNumber(1), RunNumber(2) };
+    }
+    return progress;
+}
+
 /// Runs all occurrences that become due until only those are left that stay open.
 std::set<std::uint32_t> runOccurrences(DurableJobTable& table, const JobSpec& spec, Journal& journal,
     const std::function<bool(std::uint32_t)>& staysOpen, std::mt19937& random)
@@ -114,6 +125,28 @@
 
 } // namespace
 
+// Guards against a state that outgrows a row of the store with the numbers of failed runs, and against numbers that are
+// left out although they fit.
+TEST_CASE("The earlier runs of failed tasks are stored if the state fits into a row with them")
+{
+    const auto limit = Platform::maxValueBytes(rowBytes);
+    for (const auto tasks : { 100U, 3'800U }) {
+        CAPTURE(tasks);
+        const auto spec = repeatedJob(1, tasks);
+        REQUIRE(storedStateLimits(*spec, limit));
+        const auto progress = progressWithEarlierRuns(*spec);
+        Journal journal;
+        journal.write(encodeChange({ .job = id,
+                                       .newSpec = spec,
+                                       .newState = JobStateRecord { .state = JobState::Running,
+                                           .occurrences = { { .occurrence = 0, .progress = progress } } } },
+            limit));
+        CHECK_LE(journal.largest, limit);
+        const auto read = journal.read().at(id).state->occurrences[0].progress;
+        CHECK(read == (tasks == 100U ? progress : *failedProgress(*spec)));
+    }
+}
+
 // Guards against a state that outgrows a row of the store with the number of completed occurrences: from then on
 // nothing of the job's shard was stored (review case 13).
 TEST_CASE("The stored state of a repeated job fits into a row in any order in which its occurrences end")
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -252,6 +252,7 @@
     static void applyProgress(Job&, const JobProgress&);
     ProgressMark emitProgressChanged(const OccurrenceKey&);
     bool mayAdoptRun(const Job&, const Upstream&, const TaskKey&) const;
+    bool mayApplyUntrackedEnd(const Job&, const Upstream&, const EndedTask&) const;
     /// True while a run of an earlier owner may be in progress, or may have ended without this owner knowing how.
     bool isExpected(const Task&, TimePoint now) const;
     bool mayStartInherited(TimePoint now) const;
@@ -264,6 +265,7 @@
     void retryRuns(Upstream&, const std::vector<TaskKey>&, TimePoint now);
     void dropRun(Upstream&, const TaskKey&, TimePoint now);
     void finishRun(Upstream&, const EndedTask&, TimePoint now);
+    void applyUntrackedEnd(Upstream&, const EndedTask&, TimePoint now);
     void applyEnd(Job&, Upstream&, const EndedTask&, const Run* tracked, TimePoint now);
     void trackUnrecordedEnd(Upstream&, const EndedTask&);
     /// An end that was handled before is listed again; delays its acknowledgement if it is not recorded yet.
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -133,11 +133,11 @@
         Done,
     };
     State state { State::Waiting };
-    std::uint32_t failures { 0 };
-    // Highest run number whose end has been counted.
-    RunNumber countedRun {};
+    // The ends that have been counted; its member done is not used.
+    TaskProgress counted {};
     // Upstream on which a run of an earlier owner may be in progress; empty if there is none.
     UpstreamId expectedOn {};
+    RunNumber expectedRun {};
     TimePoint expectedOrderedAt {};
     // Time by which that run has ended in any case, because its lease has expired.
     TimePoint expectedUntil {};
@@ -146,10 +146,13 @@
     Duration restartBackoff {};
     // Number of runs that were stopped as overdue.
     std::uint32_t overdueStops { 0 };
+    // Highest run number that is known of this task; it never decreases.
     RunNumber run;
     UpstreamId upstream;
     UpstreamId avoid;
     std::string checkpoint;
+    // Run from which the checkpoint comes.
+    RunNumber checkpointRun {};
 };
 
 struct ShardEngine::Step {
@@ -181,8 +184,9 @@
     TimePoint responseDeadline { TimePoint::max() };
     TimePoint firstStartAt {};
     TimePoint lastStartAt {};
+    // Highest run number that is known of any task.
     RunNumber highestRun;
-    // Upstreams may refuse run numbers up to this one.
+    // Earlier owners may have used run numbers up to this one, or upstreams may refuse them.
     RunNumber runFloor {};
     bool started { false };
     // Newest progress mark that is not recorded yet; empty if all progress is recorded.
@@ -190,6 +194,11 @@
     // Accepted by an earlier owner, which may have started runs that no upstream has reported yet.
     bool inherited { false };
 
+    void noteRun(Task& task, RunNumber run)
+    {
+        task.run = std::max(task.run, run);
+        highestRun = std::max(highestRun, run);
+    }
     TaskKey taskKey(std::uint32_t step, std::uint32_t index) const
     {
         return { .job = key.job, .occurrence = key.occurrence, .step = step, .index = index };
--- a/libs/shards/src/ShardEngineDurable.cpp
+++ b/libs/shards/src/ShardEngineDurable.cpp
@@ -55,9 +55,10 @@
     progress.highestRun = job.highestRun;
     for (const auto& step : job.steps) {
         auto& tasks = progress.steps.emplace_back();
-        for (const auto& task : step.tasks)
-            tasks.push_back(
-                { .done = task.state == Task::State::Done, .failures = task.failures, .countedRun = task.countedRun });
+        for (const auto& task : step.tasks) {
+            tasks.push_back(task.counted);
+            tasks.back().done = task.state == Task::State::Done;
+        }
     }
     return progress;
 }
--- a/libs/shards/src/ShardEngineEnds.cpp
+++ b/libs/shards/src/ShardEngineEnds.cpp
@@ -33,18 +33,25 @@
 {
     const auto found = upstream.runs.find(end.task);
     if (found == upstream.runs.end() || found->second.number != end.run) {
-        // A run of an earlier owner may have ended before this owner could adopt it.
-        auto* job = findJob(end.task.occurrenceKey());
-        if (job == nullptr)
-            handleRepeatedEnd(upstream, end);
-        else if (mayAdoptRun(*job, upstream, end.task))
-            applyEnd(*job, upstream, end, nullptr, now);
+        applyUntrackedEnd(upstream, end, now);
         return;
     }
     const Run run = found->second;
     dropRun(upstream, end.task, now);
     if (auto* job = run.job.empty() ? nullptr : findJob(run.job))
         applyEnd(*job, upstream, end, &run, now);
+    else
+        applyUntrackedEnd(upstream, end, now);
+}
+
+// The end of a run of an earlier owner that this owner has not adopted, or of a run that it stops.
+void ShardEngine::applyUntrackedEnd(Upstream& upstream, const EndedTask& end, TimePoint now)
+{
+    auto* job = findJob(end.task.occurrenceKey());
+    if (job == nullptr)
+        handleRepeatedEnd(upstream, end);
+    else if (mayApplyUntrackedEnd(*job, upstream, end))
+        applyEnd(*job, upstream, end, nullptr, now);
 }
 
 void ShardEngine::applyEnd(Job& job, Upstream& upstream, const EndedTask& end, const Run* tracked, TimePoint now)
@@ -54,10 +61,13 @@
         return;
     const auto& spec = job.spec->steps[key.step];
     auto& task = job.steps[key.step].tasks[key.index];
-    if (task.expectedOn == upstream.info.id && end.run >= task.run)
+    if (task.expectedOn == upstream.info.id && end.run >= task.expectedRun)
         task.expectedOn = UpstreamId();
-    if (spec.checkpoints && !end.checkpoint.empty())
+    job.noteRun(task, end.run);
+    if (spec.checkpoints && !end.checkpoint.empty() && end.run >= task.checkpointRun) {
         task.checkpoint = end.checkpoint;
+        task.checkpointRun = end.run;
+    }
     if (job.spec->longRunning) {
         if (tracked != nullptr)
             restartTask(job, key, *tracked, now);
@@ -69,16 +79,18 @@
             retryTask(job, key.step, key.index);
         return;
     }
-    // An end is listed in every report, also to a later owner, until it is acknowledged.
-    if (task.state == Task::State::Done || end.run <= task.countedRun) {
+    // An end is listed in every report, also to a later owner, until it is acknowledged. The end of a tracked run has
+    // not been handled yet, and a run that ended as done has completed the task.
+    const bool counted = tracked == nullptr && end.how == RunEnd::Failed && task.counted.includesFailure(end.run);
+    if (task.state == Task::State::Done || counted) {
         handleRepeatedEnd(upstream, end);
         return;
     }
-    task.countedRun = end.run;
     // The progress change has to precede a FinishJob, so that both are written in one batch.
     if (job.spec->durable)
         trackUnrecordedEnd(upstream, end);
     if (end.how == RunEnd::Done) {
+        task.counted.countedRun = std::max(task.counted.countedRun, end.run);
         if (tracked != nullptr && !tracked->startUnknown)
             learnRunTime(job, upstream, key, *tracked, now);
         completeTask(job, key, now);
@@ -149,16 +161,16 @@
     auto& task = job.steps[key.step].tasks[key.index];
     // Only the first failure of a task counts against an upstream, because a task that fails wherever it runs says
     // nothing about the upstream.
-    if (task.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
+    if (task.counted.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
         suspect(upstream, now);
-    ++task.failures;
+    task.counted.addFailure(end.run);
     actions_.emplace_back(TaskFailed { .upstream = upstream.info.id,
         .task = key,
         .run = end.run,
-        .failures = task.failures,
+        .failures = task.counted.failures,
         .maxAttempts = job.spec->maxAttempts });
     task.avoid = upstream.info.id;
-    if (task.failures >= job.spec->maxAttempts) {
+    if (task.counted.failures >= job.spec->maxAttempts) {
         finishJob(job, JobResult::Failed, now);
         return;
     }
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -33,7 +33,7 @@
                 if (!tasks[index].expectedOn.empty())
                     each.expected.push_back({ .step = step,
                         .index = index,
-                        .run = tasks[index].run,
+                        .run = tasks[index].expectedRun,
                         .upstream = tasks[index].expectedOn,
                         .startSentAt = tasks[index].expectedOrderedAt });
             }
@@ -76,12 +76,13 @@
         for (std::size_t index = 0; index < std::min(progress.steps[i].size(), step.tasks.size()); ++index) {
             const auto& counted = progress.steps[i][index];
             auto& task = step.tasks[index];
-            if (task.state == Task::State::Done || (counted.countedRun <= task.countedRun && !counted.done))
+            if (task.state == Task::State::Done || (counted.failures <= task.counted.failures && !counted.done))
                 continue;
             changed = true;
-            task.countedRun = std::max(task.countedRun, counted.countedRun);
-            task.failures = std::max(task.failures, counted.failures);
-            failed = failed || task.failures >= job->spec->maxAttempts;
+            // The earlier owner has counted all ends that are in the store, and more.
+            task.counted = counted;
+            job->noteRun(task, counted.countedRun);
+            failed = failed || task.counted.failures >= job->spec->maxAttempts;
             if (!counted.done)
                 continue;
             task.state == Task::State::Active ? --step.active : --step.waiting;
@@ -126,8 +127,8 @@
         const auto& tasks = progress.steps[i];
         for (std::size_t index = 0; index < std::min(tasks.size(), step.tasks.size()); ++index) {
             auto& task = step.tasks[index];
-            task.failures = tasks[index].failures;
-            task.countedRun = task.run = tasks[index].countedRun;
+            task.counted = tasks[index];
+            job.noteRun(task, task.counted.countedRun);
             if (!tasks[index].done)
                 continue;
             task.state = Task::State::Done;
@@ -150,10 +151,10 @@
         if (task.state != Task::State::Waiting)
             continue;
         task.expectedOn = each.upstream;
+        task.expectedRun = each.run;
         task.expectedOrderedAt = each.startSentAt;
         task.expectedUntil = until;
-        task.run = std::max(task.run, each.run);
-        job->highestRun = std::max(job->highestRun, each.run);
+        job->noteRun(task, each.run);
         job->started = true;
     }
 }
@@ -165,6 +166,14 @@
     return job.spec->durable || job.steps[key.step].tasks[key.index].expectedOn == upstream.info.id;
 }
 
+bool ShardEngine::mayApplyUntrackedEnd(const Job& job, const Upstream& upstream, const EndedTask& end) const
+{
+    if (!mayAdoptRun(job, upstream, end.task))
+        return false;
+    // A run of an earlier submission of a job that is not durable says nothing about the current one.
+    return job.spec->durable || job.steps[end.task.step].tasks[end.task.index].expectedRun == end.run;
+}
+
 bool ShardEngine::isExpected(const Task& task, TimePoint now) const
 {
     if (task.expectedOn.empty())
@@ -200,18 +209,18 @@
         return false;
     auto& step = job->steps[running.task.step];
     auto& task = step.tasks[running.task.index];
-    if (task.state != Task::State::Waiting || liveRuns_.contains(running.task) || running.run <= task.countedRun)
+    if (task.state != Task::State::Waiting || liveRuns_.contains(running.task)
+        || task.counted.includesFailure(running.run))
         return false;
-    const bool startKnown = task.expectedOn == upstream.info.id && task.run == running.run;
+    const bool startKnown = task.expectedOn == upstream.info.id && task.expectedRun == running.run;
     const auto startSentAt = startKnown ? task.expectedOrderedAt : now;
     task.expectedOn = UpstreamId();
     task.state = Task::State::Active;
-    task.run = running.run;
+    job->noteRun(task, running.run);
     task.upstream = upstream.info.id;
     --step.waiting;
     ++step.active;
     job->started = true;
-    job->highestRun = std::max(job->highestRun, running.run);
     job->firstStartAt = job->lastStartAt = now;
     const auto& need = job->spec->steps[running.task.step].need;
     upstream.freeCapacity -= need;
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -188,11 +188,10 @@
     const auto adjustedRunTime = Duration(
         static_cast<Duration::rep>(static_cast<double>(expected.count()) * model_.slowness(upstream.info.id)));
     task.state = Task::State::Active;
-    task.run = number;
+    job.noteRun(task, number);
     task.upstream = upstream.info.id;
     --step.waiting;
     ++step.active;
-    job.highestRun.value = std::max(job.highestRun.value, number.value);
     if (!job.started)
         job.firstStartAt = now;
     job.started = true;
