Reserve run numbers in the fence row, so that no two owners use the same ones

Cause: a start is not stored, so the next owner does not know which run numbers were used. It began at the highest stored run + 8. As long as no end is stored that value stays the same, so that each owner in a row used the same numbers. An end of a former owner's run then looked like that of a later one, and upstreams refused starts as old.

No durable task is started with a number that is not reserved; DurableJobs extends the reservation with the next batch, or by a write of its own, before it is used up. The epoch bounds the blocks too, for the case that an owner of a former version has written the row without the field.

--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -89,14 +89,21 @@
 void DurableJobs::handleOpened(const std::vector<ShardJournal::Row>& rows)
 {
     std::size_t malformed = 0;
-    for (const auto& [id, job] : decodeJournal(rows, malformed))
+    auto runNumberFloor = journal_.runNumberFloor();
+    for (const auto& [id, job] : decodeJournal(rows, malformed)) {
+        // Owners of former versions may also have used a few numbers above the stored ones.
+        if (job.state && !journal_.earlierRunsReserved())
+            runNumberFloor.value
+                = std::max(runNumberFloor.value, highestRunOf(*job.state).value + ShardJournal::runNumberBlock);
         book_.restore(id, job.spec, job.state);
+    }
+    engine_.setRunNumbers(runNumberFloor, journal_.lastReservedRun());
     if (!journal_.withinOpenLimits())
         book_.expectStartsBeyondLimits(unixMs());
     context_.log.event("journal.opened",
         { { "shard", shard_.value }, { "rows", std::uint64_t { rows.size() } },
             { "unfinished_jobs", std::uint64_t { book_.unfinishedJobs() } },
-            { "malformed_rows", std::uint64_t { malformed } } });
+            { "malformed_rows", std::uint64_t { malformed } }, { "run_number_floor", runNumberFloor.value } });
     state_ = State::Open;
     submitDueJobs();
     const auto waiting = std::exchange(deferredUntilOpen_, {});
@@ -222,9 +229,19 @@
         engine_.cancelDurable(finished.job.job, monotonicNow());
 }
 
+Shards::RunNumber DurableJobs::runsToReserve() const
+{
+    const auto reserved = journal_.lastReservedRun();
+    const auto needed = engine_.highestNeededRun();
+    const bool enough = needed.value + ShardJournal::runNumberBlock / 2 <= reserved.value;
+    return enough ? reserved : Shards::RunNumber(needed.value + ShardJournal::runNumberBlock);
+}
+
+bool DurableJobs::needsWrite() const { return book_.hasChanges() || runsToReserve() > journal_.lastReservedRun(); }
+
 void DurableJobs::write()
 {
-    if (state_ != State::Open || writing_ || !book_.hasChanges())
+    if (state_ != State::Open || writing_ || !needsWrite())
         return;
     const auto now = monotonicNow();
     // Limits the writes of all shards together to the journals' share of the store's write rate.
@@ -248,7 +265,7 @@
         if (error || !*alive)
             return;
         nextWriteAt_ = TimePoint::max();
-        if (state_ == State::Open && !writing_ && book_.hasChanges())
+        if (state_ == State::Open && !writing_ && needsWrite())
             writeNow();
     });
 }
@@ -263,6 +280,7 @@
     lastWriteAt_ = sentAt;
     auto write = encoder.take();
     write.withinOpenLimits = batch.withinOpenLimits;
+    write.lastReservedRun = runsToReserve();
     journal_.write(write, [this, batch = std::move(batch), sentAt](ShardJournal::Outcome outcome) {
         writing_ = false;
         if (state_ != State::Open)
@@ -292,6 +310,7 @@
 {
     const auto now = monotonicNow();
     context_.metrics.observe("balsammill_journal_write_time_ms", {}, toMs(now - sentAt));
+    engine_.extendRunNumbers(journal_.lastReservedRun());
     book_.handleWritten(batch);
     engine_.handleRecorded(batch.progress);
     for (const auto& id : batch.ended) {
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -92,6 +92,10 @@
     void openJournal();
     void handleOpened(const std::vector<ShardJournal::Row>&);
     void expireDeferred(TimePoint now);
+    /// True if there are changes, or run numbers to reserve.
+    bool needsWrite() const;
+    /// Highest run number that the next write has to reserve.
+    Shards::RunNumber runsToReserve() const;
     void writeNow();
     void handleWritten(const Shards::JournalBatch&, TimePoint sentAt);
     void handleWriteFailed(const Shards::JournalBatch&);
--- a/libs/node/src/durable/JournalCodec.cpp
+++ b/libs/node/src/durable/JournalCodec.cpp
@@ -171,6 +171,14 @@
         .maxListedCompletions = static_cast<std::uint32_t>(listBytes / listedCompletionBytes(occurrences)) };
 }
 
+Shards::RunNumber highestRunOf(const Shards::JobStateRecord& record)
+{
+    Shards::RunNumber highest;
+    for (const auto& occurrence : record.occurrences)
+        highest = std::max(highest, occurrence.progress.highestRun);
+    return highest;
+}
+
 ShardJournal::Write encodeChange(const Shards::JournalChange& change, std::size_t maxValueBytes)
 {
     ShardJournal::Write write;
--- a/libs/node/src/durable/JournalCodec.h
+++ b/libs/node/src/durable/JournalCodec.h
@@ -24,6 +24,8 @@
 /// more than maxValueBytes with it; the limits above do not include it.
 ShardJournal::Write encodeChange(
     const Shards::JournalChange&, std::size_t maxValueBytes = std::numeric_limits<std::size_t>::max());
+/// Highest run number in the record; 0 if there is none.
+Shards::RunNumber highestRunOf(const Shards::JobStateRecord&);
 /// Encodes a batch as rows to write and to remove.
 ShardJournal::Write encodeBatch(const Shards::JournalBatch&);
 /// Groups the rows of a journal by job. Malformed rows are counted and skipped.
--- a/libs/node/src/durable/ShardJournal.cpp
+++ b/libs/node/src/durable/ShardJournal.cpp
@@ -54,13 +54,15 @@
     return { .table = journalTable, .part = partition_, .key = key, .value = value, .version = {} };
 }
 
-Platform::Row ShardJournal::fenceRow(std::uint64_t batches, bool withinOpenLimits) const
+Platform::Row ShardJournal::fenceRow(
+    std::uint64_t batches, bool withinOpenLimits, Shards::RunNumber lastReservedRun) const
 {
     balsammill::internal::JournalFence fence;
     fence.set_epoch(epoch_.value);
     fence.set_batches(batches);
     if (withinOpenLimits)
         fence.set_open_limit_row_bytes(stateRowBytes_);
+    fence.set_last_reserved_run(lastReservedRun.value);
     auto result = row(fenceKey, fence.SerializeAsString());
     result.version = fenceVersion_;
     return result;
@@ -88,6 +90,9 @@
         rows_.clear();
         fenceVersion_ = {};
         withinOpenLimits_ = true;
+        earlierRunsReserved_ = true;
+        // The epoch bounds the blocks of all earlier owners, also if one of a former version has removed the field.
+        runNumberFloor_ = Shards::RunNumber(epoch_.value * runNumberBlock);
     }
     store_.read({ .table = journalTable, .part = partition_, .from = fromKey }, monotonicNow() + callTimeout,
         [this, alive = alive_, fromKey](const auto& result) {
@@ -108,8 +113,11 @@
                 std::exchange(opened_, nullptr)(std::nullopt);
                 return;
             }
-            if (fence)
+            if (fence) {
                 withinOpenLimits_ = fence->open_limit_row_bytes() == stateRowBytes_;
+                earlierRunsReserved_ = fence->last_reserved_run() > 0;
+                runNumberFloor_ = std::max(runNumberFloor_, Shards::RunNumber(fence->last_reserved_run()));
+            }
             for (const auto& each : result.rows) {
                 if (each.key == fenceKey)
                     fenceVersion_ = each.version;
@@ -126,7 +134,8 @@
 void ShardJournal::writeFence()
 {
     // A write of a former owner after the pages were read changes the fence row, so that this conditional write fails.
-    const auto fence = fenceRow(0, withinOpenLimits_);
+    lastReservedRun_ = Shards::RunNumber(runNumberFloor_.value + runNumberBlock);
+    const auto fence = fenceRow(0, withinOpenLimits_, lastReservedRun_);
     store_.write({ .conditions = { fence }, .puts = { fence } }, monotonicNow() + callTimeout,
         [this, alive = alive_](const Platform::RowsResult& result) {
             if (*alive)
@@ -173,7 +182,8 @@
 
 std::size_t ShardJournal::maxWriteBytes() const
 {
-    const auto fence = fenceRow(std::numeric_limits<std::uint64_t>::max(), true);
+    constexpr auto max = std::numeric_limits<std::uint64_t>::max();
+    const auto fence = fenceRow(max, true, Shards::RunNumber(max));
     const auto limit = Platform::maxTransactionBytes
         - Platform::encodeTransaction({ .conditions = { fence }, .puts = { fence } }).size();
     if (linkMbps_ <= 0)
@@ -183,7 +193,8 @@
 
 void ShardJournal::attempt()
 {
-    const auto fence = fenceRow(batches_ + 1, pending_.withinOpenLimits);
+    const auto fence
+        = fenceRow(batches_ + 1, pending_.withinOpenLimits, std::max(lastReservedRun_, pending_.lastReservedRun));
     Platform::Transaction transaction { .conditions = { fence }, .puts = { fence } };
     for (const auto& put : pending_.puts)
         transaction.puts.push_back(row(put.key, put.value));
@@ -242,8 +253,10 @@
 void ShardJournal::finishWrite(Outcome outcome)
 {
     retryDelay_ = Duration::zero();
-    if (outcome == Outcome::Written)
+    if (outcome == Outcome::Written) {
         ++batches_;
+        lastReservedRun_ = std::max(lastReservedRun_, pending_.lastReservedRun);
+    }
     pending_ = {};
     std::exchange(written_, nullptr)(outcome);
 }
--- a/libs/node/src/durable/ShardJournal.h
+++ b/libs/node/src/durable/ShardJournal.h
@@ -30,6 +30,8 @@
         std::vector<std::string> removals {};
         /// Each job has at most as many open occurrences as the limits for rows of stateRowBytes permit.
         bool withinOpenLimits { true };
+        /// Reserves the run numbers up to this one; no effect if they are reserved already.
+        Shards::RunNumber lastReservedRun {};
     };
     enum class Outcome {
         Written,
@@ -40,6 +42,8 @@
         /// Another owner has opened the journal.
         Fenced,
     };
+    /// Run numbers that open() reserves for the new owner, and by which a reservation should be extended.
+    static constexpr std::uint64_t runNumberBlock = 256;
     /// Entries of each transaction for the fence row: a condition and a put.
     static constexpr std::size_t fenceEntries = 2;
     /// Receives the rows; empty if a later owner has opened the journal.
@@ -61,6 +65,13 @@
     /// True if the open occurrences of each job were within the limits that this owner uses when the journal was last
     /// written. Known once the journal is open; true for a new one.
     bool withinOpenLimits() const { return withinOpenLimits_; }
+    /// Earlier owners have used no higher run number for durable tasks. Known once the journal is open.
+    Shards::RunNumber runNumberFloor() const { return runNumberFloor_; }
+    /// This owner may use run numbers up to this one: no later owner uses them for the same tasks.
+    Shards::RunNumber lastReservedRun() const { return lastReservedRun_; }
+    /// False if a version that does not reserve run numbers wrote the journal last, so that runNumberFloor() may be too
+    /// low.
+    bool earlierRunsReserved() const { return earlierRunsReserved_; }
     /// Reads the journal and fences earlier owners. Retries until the store answers.
     void open(OpenCallback);
     /// Writes a batch; only one write may be in flight. Retries until the result is known.
@@ -81,7 +92,7 @@
     void finishWrite(Outcome);
     void retryLater(void (ShardJournal::*action)());
     Platform::Row row(const std::string& key, const std::string& value) const;
-    Platform::Row fenceRow(std::uint64_t batches, bool withinOpenLimits) const;
+    Platform::Row fenceRow(std::uint64_t batches, bool withinOpenLimits, Shards::RunNumber lastReservedRun) const;
     Duration transferTime(std::size_t bytes) const;
     void restartOpen() { readPage({}); }
     void repeatPage() { readPage(std::exchange(nextPageKey_, {})); }
@@ -96,6 +107,9 @@
     Platform::RowVersion fenceVersion_;
     std::uint64_t batches_ { 0 };
     bool withinOpenLimits_ { true };
+    Shards::RunNumber runNumberFloor_ {};
+    Shards::RunNumber lastReservedRun_ {};
+    bool earlierRunsReserved_ { true };
     std::vector<Row> rows_;
     // First key of the page that is read again after a failed attempt.
     std::string nextPageKey_;
--- a/libs/node/tests/ShardJournalTests.cpp
+++ b/libs/node/tests/ShardJournalTests.cpp
@@ -239,3 +239,88 @@
     for (auto* each : { &first, &second, &kept, &otherSetting })
         fixture.drop(*each);
 }
+
+// Guards against run numbers that two owners in a row both use: neither the starts nor the ends of the first one need
+// to be in the store (review case 11).
+TEST_CASE("Each opening of a journal reserves run numbers above those of all earlier owners")
+{
+    constexpr auto block = ShardJournal::runNumberBlock;
+    Fixture fixture;
+    std::uint64_t last = 0;
+    // The epoch of a later owner is higher; a process may open the journal twice in one epoch.
+    for (const std::uint64_t epoch : { 1U, 2U, 2U, 2U, 9U, 10U }) {
+        CAPTURE(epoch);
+        auto journal = fixture.journal(epoch);
+        // The answer to the reservation is lost, so the journal is read again.
+        if (epoch == 10U)
+            fixture.operatorStore.dropNextAnswers(2);
+        REQUIRE(fixture.open(*journal).has_value());
+        CHECK(journal->earlierRunsReserved());
+        CHECK_GE(journal->runNumberFloor().value, last);
+        CHECK_EQ(journal->lastReservedRun().value, journal->runNumberFloor().value + block);
+        last = journal->lastReservedRun().value;
+        if (epoch == 9U) {
+            CHECK(fixture.write(*journal, { .lastReservedRun = Shards::RunNumber(last + 5'000) })
+                == ShardJournal::Outcome::Written);
+            last += 5'000;
+            CHECK_EQ(journal->lastReservedRun().value, last);
+            // A later write without a reservation keeps it.
+            CHECK(fixture.write(*journal, { .puts = { { "a", "1" } } }) == ShardJournal::Outcome::Written);
+            CHECK_EQ(journal->lastReservedRun().value, last);
+        }
+        fixture.drop(journal);
+    }
+}
+
+// Guards against the use of numbers whose reservation has not reached the store.
+TEST_CASE("Run numbers count as reserved only once the store has confirmed it")
+{
+    Fixture fixture;
+    auto first = fixture.journal(1);
+    REQUIRE(fixture.open(*first).has_value());
+    const auto reserved = first->lastReservedRun();
+    const ShardJournal::Write more { .lastReservedRun = Shards::RunNumber(reserved.value + 1) };
+    fixture.operatorStore.setOutage(true);
+    CHECK(fixture.write(*first, more) == ShardJournal::Outcome::Refused);
+    CHECK_EQ(first->lastReservedRun(), reserved);
+    fixture.operatorStore.setOutage(false);
+    auto second = fixture.journal(2);
+    REQUIRE(fixture.open(*second).has_value());
+    CHECK(fixture.write(*first, more) == ShardJournal::Outcome::Fenced);
+    CHECK_EQ(first->lastReservedRun(), reserved);
+    CHECK_GE(second->runNumberFloor(), reserved);
+    fixture.drop(first);
+    fixture.drop(second);
+}
+
+// Guards against run numbers of earlier owners that are used again after an owner of a version that reserves none: its
+// writes remove the reservation from the fence row.
+TEST_CASE("Run numbers are reserved above the blocks of all earlier epochs if the fence row has no reservation")
+{
+    Fixture fixture;
+    auto first = fixture.journal(1);
+    REQUIRE(fixture.open(*first).has_value());
+    const auto reserved = first->lastReservedRun();
+    // The row of the first owner is replaced by that of a former version in epoch 2.
+    std::promise<Platform::RowsResult> read;
+    fixture.ownLoop.run([&] {
+        fixture.store->read({ .table = "jobs", .part = "valencia/0", .from = "!" }, monotonicNow() + 1s,
+            [&](const auto& result) { read.set_value(result); });
+    });
+    const auto rows = read.get_future().get().rows;
+    REQUIRE_EQ(rows.size(), 1);
+    auto former = rows.front();
+    former.value = "\x08\x02";
+    std::promise<Platform::StoreStatus> written;
+    fixture.ownLoop.run([&] {
+        fixture.store->write({ .conditions = { rows.front() }, .puts = { former } }, monotonicNow() + 1s,
+            [&](const auto& result) { written.set_value(result.status); });
+    });
+    REQUIRE(written.get_future().get() == Platform::StoreStatus::Ok);
+    auto third = fixture.journal(3);
+    REQUIRE(fixture.open(*third).has_value());
+    CHECK_FALSE(third->earlierRunsReserved());
+    CHECK_GE(third->runNumberFloor(), reserved);
+    fixture.drop(first);
+    fixture.drop(third);
+}
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -6,7 +6,9 @@
 #include "balsammill/shards/StepPermits.h"
 #include "balsammill/shards/UpstreamInfo.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -132,6 +134,14 @@
     // Durable jobs. They are not dropped when they are late, and the end of a task is acknowledged to its upstream only
     // after handleRecorded().
 
+    /// Numbers for the starts of durable tasks, so that no two starts of a task over all owners have the same one: jobs
+    /// that earlier owners accepted use numbers above the floor, and no start uses a number above the last. Both are
+    /// without limit until it is called.
+    void setRunNumbers(RunNumber floor, RunNumber last);
+    /// The numbers up to this one have become available.
+    void extendRunNumbers(RunNumber last) { lastReservedRun_ = std::max(lastReservedRun_, last); }
+    /// Highest number that a durable task was started with, or waits for.
+    RunNumber highestNeededRun() const { return highestNeededRun_; }
     /// Accepts one occurrence of a job that is in the store. due: the time from which its response time is measured.
     void submitDurable(const OccurrenceKey&, std::shared_ptr<const JobSpec>, TimePoint due);
     /// As submitDurable(), for a job that an earlier owner accepted. Runs that upstreams report are adopted. The other
@@ -253,6 +263,8 @@
     ProgressMark emitProgressChanged(const OccurrenceKey&);
     bool mayAdoptRun(const Job&, const Upstream&, const TaskKey&) const;
     bool mayApplyUntrackedEnd(const Job&, const Upstream&, const EndedTask&) const;
+    /// Returns false if the start has to wait until the number is reserved.
+    bool takeRunNumber(const Job&, RunNumber);
     /// True while a run of an earlier owner may be in progress, or may have ended without this owner knowing how.
     bool isExpected(const Task&, TimePoint now) const;
     bool mayStartInherited(TimePoint now) const;
@@ -324,6 +336,9 @@
     // Run numbers of finished and cancelled jobs. Upstreams refuse run numbers up to that of an earlier run, also when
     // a cancelled job is submitted again.
     std::unordered_map<OccurrenceKey, RecentJob> recentJobs_;
+    RunNumber runNumberFloor_ {};
+    RunNumber lastReservedRun_ { std::numeric_limits<std::uint64_t>::max() };
+    RunNumber highestNeededRun_ {};
     TimePoint inheritedDelayedUntil_ {};
     TimePoint ownershipValidUntil_ { TimePoint::max() };
     // Set while the shard's failure domain is evacuated.
--- a/libs/shards/src/ShardEngineDetail.h
+++ b/libs/shards/src/ShardEngineDetail.h
@@ -186,7 +186,7 @@
     TimePoint lastStartAt {};
     // Highest run number that is known of any task.
     RunNumber highestRun;
-    // Earlier owners may have used run numbers up to this one, or upstreams may refuse them.
+    // Earlier owners may have used run numbers up to this one, or upstreams refuse them.
     RunNumber runFloor {};
     bool started { false };
     // Newest progress mark that is not recorded yet; empty if all progress is recorded.
--- a/libs/shards/src/ShardEngineDurable.cpp
+++ b/libs/shards/src/ShardEngineDurable.cpp
@@ -5,13 +5,19 @@
 
 namespace Balsammill::Shards {
 
-namespace {
-
-// Added to the run number of an inherited job: the earlier owner may have used a few numbers that are not recorded or
-// reported.
-constexpr std::uint64_t inheritedRunNumberIncrement = 8;
+void ShardEngine::setRunNumbers(RunNumber floor, RunNumber last)
+{
+    runNumberFloor_ = floor;
+    lastReservedRun_ = last;
+}
 
-} // namespace
+bool ShardEngine::takeRunNumber(const Job& job, RunNumber number)
+{
+    if (!job.spec->durable)
+        return true;
+    highestNeededRun_ = std::max(highestNeededRun_, number);
+    return number <= lastReservedRun_;
+}
 
 void ShardEngine::submitDurable(const OccurrenceKey& key, std::shared_ptr<const JobSpec> spec, TimePoint due)
 {
@@ -27,7 +33,7 @@
     auto& job = addJob(key, std::move(spec), due);
     job.inherited = true;
     applyProgress(job, progress);
-    job.runFloor = RunNumber(progress.highestRun.value + inheritedRunNumberIncrement);
+    job.runFloor = std::max({ job.runFloor, runNumberFloor_, progress.highestRun });
 }
 
 void ShardEngine::cancelDurable(const JobId& id, TimePoint now)
--- a/libs/shards/src/ShardEngineTransfer.cpp
+++ b/libs/shards/src/ShardEngineTransfer.cpp
@@ -69,6 +69,7 @@
     if (job == nullptr || !job->spec->durable)
         return;
     job->highestRun = std::max(job->highestRun, progress.highestRun);
+    job->runFloor = std::max(job->runFloor, progress.highestRun);
     bool changed = false;
     bool failed = false;
     for (std::size_t i = 0; i < std::min(progress.steps.size(), job->steps.size()); ++i) {
--- a/libs/shards/src/ShardPlacement.cpp
+++ b/libs/shards/src/ShardPlacement.cpp
@@ -244,10 +244,12 @@
         // An earlier run of the task may still be in progress on an upstream.
         if (liveRuns_.contains(job.taskKey(stepIndex, index)))
             continue;
+        const RunNumber number { std::max(task.run.value, job.runFloor.value) + 1 };
+        if (!takeRunNumber(job, number))
+            continue;
         auto* upstream = chooseUpstream(job, stepIndex, task, rack, blocked.reserved, now);
         if (upstream == nullptr)
             return false;
-        const RunNumber number { std::max(task.run.value, job.runFloor.value) + 1 };
         startTask(job, stepIndex, index, *upstream, number, now);
     }
     return true;
@@ -264,6 +266,9 @@
         if (liveRuns_.contains(job.taskKey(stepIndex, index)) || isExpected(step.tasks[index], now))
             return true;
     }
+    const RunNumber number { std::max(job.highestRun.value, job.runFloor.value) + 1 };
+    if (!takeRunNumber(job, number))
+        return true;
     const auto rack = rackFor(job, stepIndex, now);
     std::vector<Upstream*> members;
     for (const auto& task : step.tasks) {
@@ -277,7 +282,6 @@
         upstream->freeCapacity += spec.need;
     if (members.size() < step.tasks.size())
         return false;
-    const RunNumber number { std::max(job.highestRun.value, job.runFloor.value) + 1 };
     for (std::uint32_t index = 0; index < members.size(); ++index)
         startTask(job, stepIndex, index, *members[index], number, now);
     return true;
--- a/libs/shards/tests/DurableJobTests.cpp
+++ b/libs/shards/tests/DurableJobTests.cpp
@@ -72,6 +72,7 @@
 {
     EngineFixture fixture;
     fixture.engine.delayInheritedUntil(at(1'200));
+    fixture.engine.setRunNumbers(RunNumber(256), RunNumber(512));
     fixture.engine.inheritDurable(keyOf({}), durable({ .tasks = 3 }), at(0), {});
     fixture.engine.updateUpstream(makeUpstream("u1"), at(0));
     const RunningTask running { .task = task(1), .run = RunNumber(4), .checkpoint = {} };
@@ -84,7 +85,7 @@
     REQUIRE_EQ(starts.size(), 2);
     for (const auto& start : starts) {
         CHECK_NE(start.task.index, 1);
-        CHECK_GT(start.run.value, 4);
+        CHECK_GT(start.run.value, 256);
     }
 }
 
