Pass on handed over runs that were not taken over yet

What callers would see: a task that runs twice at a time.

An owner that handed the shard over before that dropped it, and its successor, which counts as told of all runs, started the tasks at once. The runs on an upstream that could not be reached were in no list.

Change: such an owner passes on what it was told.

--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -264,6 +264,9 @@
         }
         result.jobs.push_back(std::move(each));
     }
+    // The engine has no durable jobs before the journal is read. What the predecessor has told is passed on.
+    for (auto& job : inheritedDurableJobs_)
+        result.jobs.push_back({ .job = std::move(job) });
     abandoned_ = true;
     durable_.close();
     for (auto& [id, session] : sessions_)
--- a/libs/node/tests/ShardServerTests.cpp
+++ b/libs/node/tests/ShardServerTests.cpp
@@ -77,7 +77,8 @@
         });
     }
 
-    void startOwner(std::uint64_t epoch, bool hasDurableJobs, Duration confirmedAgo = {})
+    void startOwner(
+        std::uint64_t epoch, bool hasDurableJobs, Duration confirmedAgo = {}, const PeerId& predecessor = {})
     {
         ownLoop.run([&] {
             if (server)
@@ -85,6 +86,7 @@
             server = std::make_unique<ShardServer>(*context, *store,
                 ShardServer::Options { .name = Shards::ShardName("valencia/0"),
                     .epoch = Epoch(epoch),
+                    .predecessor = predecessor,
                     .hasDurableJobs = hasDurableJobs,
                     .ownershipConfirmedAt = monotonicNow() - confirmedAgo },
                 ShardServer::Handlers { .otherShards = [] { return std::vector<Shards::OtherShard> {}; },
@@ -179,3 +181,30 @@
     CHECK_EQ(fixture.submit(storedJob), OwnerAnswer::Kind::Accepted);
     CHECK_EQ(fixture.query(storedJob), OwnerAnswer::Kind::Known);
 }
+
+// Guards against a second run of a task beside one that only the owner before the last one knew of: its upstream cannot
+// be reached, so that no report lists the run.
+TEST_CASE("An owner that hands over before it has read the journal passes on what its predecessor has told it")
+{
+    Fixture fixture;
+    fixture.startOwner(1, false);
+    REQUIRE_EQ(fixture.submit(storedJob), OwnerAnswer::Kind::Accepted);
+    fixture.operatorStore.setOutage(true);
+    const PeerId predecessor { .vm = VmName("front-2"), .incarnation = Incarnation(1) };
+    fixture.startOwner(2, true, {}, predecessor);
+    Shards::TransferredJob job { .key = { .job = storedJob } };
+    job.progress = { .steps = { { {} } }, .highestRun = Shards::RunNumber(7) };
+    job.expected = { { .step = 0, .index = 0, .run = Shards::RunNumber(7), .upstream = Shards::UpstreamId("i-1") } };
+    const HandOver received { .shard = Shards::ShardName("valencia/0"), .epoch = Epoch(1), .jobs = { { .job = job } } };
+    const auto sent = fixture.ownLoop.run([&] {
+        fixture.server->takeOver(received);
+        return fixture.server->handOver();
+    });
+    REQUIRE_EQ(sent.jobs.size(), 1);
+    const auto& passedOn = sent.jobs.front().job;
+    CHECK(passedOn.key == job.key);
+    CHECK(passedOn.progress == job.progress);
+    REQUIRE_EQ(passedOn.expected.size(), 1);
+    CHECK_EQ(passedOn.expected.front().run, Shards::RunNumber(7));
+    CHECK_EQ(passedOn.expected.front().upstream, Shards::UpstreamId("i-1"));
+}
