Play durable jobs under several owners in a row in the random schedules

Owners change by handover and after the end of a process, in series; upstreams fail what they run or are cut off, so that the ends of several runs arrive late and in any order; the store is away at times. Rules: the run numbers of a task rise over all owners and a gang shares them, no task runs twice at a time or starts after an acknowledged completion, a job fails only after the permitted number of failed runs, and all jobs end once the faults are over.

--- a/libs/shards/tests/ResendProperties.cpp
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -1,4 +1,5 @@
 #include "ResendSimulation.h"
+#include "SuccessionSimulation.h"
 
 #include <doctest/doctest.h>
 
@@ -53,6 +54,28 @@
     return failed;
 }
 
+// As runSchedules(), of shards with durable jobs and several owners in a row.
+std::optional<unsigned> runSuccessions(const SuccessionSimulation::Options& options, int count)
+{
+    std::uint64_t runs = 0;
+    std::uint64_t changes = 0;
+    std::uint64_t jobs = 0;
+    std::optional<unsigned> failed;
+    int schedules = 0;
+    for (int i = firstSchedule(); i < firstSchedule() + count && !failed; ++i) {
+        SuccessionSimulation simulation(seedOf(i), options);
+        if (!simulation.run().empty())
+            failed = seedOf(i);
+        ++schedules;
+        runs += simulation.world().runsStarted;
+        changes += simulation.ownerChanges();
+        jobs += simulation.jobs();
+    }
+    MESSAGE("seed ", failed.value_or(0), ", schedules ", schedules, ", runs ", runs, ", owner changes ", changes,
+        ", jobs ", jobs);
+    return failed;
+}
+
 void expectNoViolation(ResendSimulation::Options options)
 {
     const auto seed = runSchedules(options, scheduleCount());
@@ -117,3 +140,23 @@
     CHECK_NE(ResendSimulation(lateGrantSeed, { .limitsLateGrants = false }).run(), "");
     CHECK_EQ(ResendSimulation(lateGrantSeed, {}).run(), "");
 }
+
+// Guards against run numbers that several owners in a row use, against ends that are applied to another run or dropped,
+// and against jobs that therefore never end (review case 11).
+TEST_CASE("Durable jobs end as their runs did, whatever their owners in a row know of each other's runs")
+{
+    const auto seed = runSuccessions({}, scheduleCount());
+    if (!seed)
+        return;
+    SuccessionSimulation again(*seed, { .traced = true });
+    const auto violation = again.run();
+    const auto trace = again.trace();
+    INFO("seed ", *seed, "\n", trace);
+    CHECK_EQ(violation, "");
+}
+
+// Guards against a simulation in which owners in a row never meet each other's run numbers.
+TEST_CASE("The schedules with durable jobs find a run number that is used again if none are reserved")
+{
+    CHECK(runSuccessions({ .reservesRunNumbers = false }, maxSchedulesToFind));
+}
--- a/libs/shards/tests/ResendSimulation.cpp
+++ b/libs/shards/tests/ResendSimulation.cpp
@@ -55,16 +55,6 @@
     return world_.violation;
 }
 
-std::string ResendSimulation::trace() const
-{
-    std::string wanted;
-    for (const auto& [job, events] : world_.traces) {
-        if (job.empty() || world_.violation.find(" " + job.value + " ") != std::string::npos)
-            wanted += (job.empty() ? "all jobs" : job.value) + ":\n" + events;
-    }
-    return wanted;
-}
-
 std::shared_ptr<SimulatedWire> ResendSimulation::connect(const ProcessKey& from, int place)
 {
     const auto& node = nodes_.at(static_cast<std::size_t>(place));
--- a/libs/shards/tests/ResendSimulation.h
+++ b/libs/shards/tests/ResendSimulation.h
@@ -26,7 +26,7 @@
     std::uint64_t ended() const { return ended_; }
     const SimulatedWorld& world() const { return world_; }
     /// Events of the job that the violation names.
-    std::string trace() const;
+    std::string trace() const { return world_.traceOfViolation(); }
 
 private:
     struct Client {
--- a/libs/shards/tests/SimulatedNode.cpp
+++ b/libs/shards/tests/SimulatedNode.cpp
@@ -400,6 +400,12 @@
         link->send(process_, message);
 }
 
+void SimulatedNode::submitDurable(int shard, const std::shared_ptr<const JobSpec>& job)
+{
+    if (const auto owner = owners_.find(shard); owner != owners_.end())
+        owner->second->submitDurable(job);
+}
+
 void SimulatedNode::readRecord(int shard)
 {
     const auto& current = process_.world.records.at(shard);
--- a/libs/shards/tests/SimulatedNode.h
+++ b/libs/shards/tests/SimulatedNode.h
@@ -34,6 +34,8 @@
     void enqueueConnection(std::shared_ptr<SimulatedWire> wire) { peers_.enqueue(std::move(wire)); }
     void enqueueRequest(const ClientAttempt&, std::shared_ptr<const JobSpec>, int arrivesAt);
     void enqueueClientClosed(const ClientAttempt&);
+    /// No effect unless this process owns the shard and has read its journal.
+    void submitDurable(int shard, const std::shared_ptr<const JobSpec>&);
     /// Reads the record of a shard from the store.
     void readRecord(int shard);
 
--- a/libs/shards/tests/SimulatedOwner.cpp
+++ b/libs/shards/tests/SimulatedOwner.cpp
@@ -23,9 +23,15 @@
     , handlers_(std::move(handlers))
     , predecessor_(record.handedOverBy)
     , engine_(ShardEngine::Options { .stopGrace = milliseconds(SimulatedWorld::stopGraceMs) })
+    , durable_(process, engine_, shard, record.epoch,
+          { .schedulingNeeded = [this] { runScheduler(); },
+              .fenced = [this] { handlers_.fenced(); },
+              .opened = [this] { handleInheritedStateKnown(); } })
 {
     engine_.delayInheritedUntil(
         predecessor_.empty() ? at(startedAt_ + SimulatedSession::maxLeaseLifetimeMs) : TimePoint::max());
+    if (process.world.durableJobs)
+        durable_.open();
     openSessions();
 }
 
@@ -35,9 +41,26 @@
         session->close();
 }
 
+bool SimulatedOwner::inheritedStateKnown() const
+{
+    return predecessor_.empty() && (durable_.isOpen() || !process_.world.durableJobs);
+}
+
+void SimulatedOwner::handleInheritedStateKnown()
+{
+    if (!inheritedStateKnown())
+        return;
+    for (const auto& each : std::exchange(inheritedDurableJobs_, {})) {
+        engine_.mergeProgress(each.key, each.progress, at(process_.now()));
+        engine_.expectRuns(each.key, each.expected, at(process_.now() + SimulatedSession::maxLeaseLifetimeMs));
+    }
+    openSessions();
+    runScheduler();
+}
+
 void SimulatedOwner::openSessions()
 {
-    if (!predecessor_.empty())
+    if (!inheritedStateKnown())
         return;
     for (int i = 0; i < SimulatedWorld::upstreamsPerShard; ++i) {
         const auto upstream = shard_ * SimulatedWorld::upstreamsPerShard + i;
@@ -137,13 +160,16 @@
     for (const auto& id : handOver.settledUpstreams)
         engine_.confirmOnFirstReport(id);
     for (const auto& each : handOver.jobs) {
+        if (each.job.spec == nullptr) {
+            inheritedDurableJobs_.push_back(each.job);
+            continue;
+        }
         adoptSubmission(each);
         engine_.expectRuns(each.job.key, each.job.expected, leasesExpireAt);
     }
     predecessor_ = {};
     engine_.delayInheritedUntil(at(process_.now()) + std::max(Duration(), handOver.unreportedRunsExpireIn));
-    openSessions();
-    runScheduler();
+    handleInheritedStateKnown();
 }
 
 void SimulatedOwner::adoptSubmission(const SimulatedHandOver::Job& inherited)
@@ -200,8 +226,7 @@
         return;
     predecessor_ = {};
     engine_.delayInheritedUntil(at(process_.now() + SimulatedSession::maxLeaseLifetimeMs));
-    openSessions();
-    runScheduler();
+    handleInheritedStateKnown();
 }
 
 SimulatedHandOver SimulatedOwner::handOver()
@@ -221,7 +246,10 @@
         }
         result.jobs.push_back(std::move(each));
     }
+    for (auto& job : inheritedDurableJobs_)
+        result.jobs.push_back({ .job = std::move(job), .origin = {} });
     abandoned_ = true;
+    durable_.close();
     for (auto& [id, session] : sessions_)
         session->close();
     submissions_.clear();
@@ -232,6 +260,7 @@
 void SimulatedOwner::abandon()
 {
     abandoned_ = true;
+    durable_.close();
     for (auto& [id, session] : sessions_)
         session->close();
     const auto open = std::move(submissions_);
@@ -244,11 +273,23 @@
 void SimulatedOwner::execute(const ShardAction& action)
 {
     if (const auto* start = std::get_if<StartTask>(&action)) {
+        if (start->job->durable) {
+            process_.world.noteDurableStart(*start);
+            durable_.recordStarted(start->task.job);
+        }
         sessions_.at(start->upstream)->start(*start);
     } else if (const auto* stop = std::get_if<StopTask>(&action)) {
         process_.world.trace(stop->task.job, "stop by " + std::to_string(process_.key.place));
         sessions_.at(stop->upstream)->stop(*stop);
+    } else if (const auto* adopted = std::get_if<TaskAdopted>(&action)) {
+        durable_.recordStarted(adopted->task.job);
+    } else if (const auto* changed = std::get_if<ProgressChanged>(&action)) {
+        durable_.recordProgress(*changed);
     } else if (const auto* finished = std::get_if<FinishJob>(&action)) {
+        if (finished->submission == SubmissionId()) {
+            durable_.recordFinished(*finished);
+            return;
+        }
         const auto found = submissions_.find(finished->submission);
         if (found == submissions_.end())
             return;
@@ -284,12 +325,14 @@
         }
     } while (scheduleAgain_ && !abandoned_);
     scheduling_ = false;
+    durable_.write();
 }
 
 void SimulatedOwner::advance()
 {
     checkUnconfirmed();
     engine_.advance(at(process_.now()));
+    durable_.advance();
     for (const auto& [id, session] : sessions_)
         session->advance();
     runScheduler();
--- a/libs/shards/tests/SimulatedOwner.h
+++ b/libs/shards/tests/SimulatedOwner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "SimulatedDurableJobs.h"
 #include "SimulatedLink.h"
 #include "SimulatedSession.h"
 
@@ -22,6 +23,7 @@
 
     /// link: null for a request of this process.
     void submit(const SimulatedSubmitter&, const std::shared_ptr<SimulatedLink>& link, std::shared_ptr<const JobSpec>);
+    void submitDurable(const std::shared_ptr<const JobSpec>& job) { durable_.submit(job); }
     void cancel(const SimulatedSubmitter&);
     void cancelAllFrom(const SimulatedLink&);
     bool holds(const SimulatedSubmitter& submitter) const { return bySubmitter_.contains(submitter); }
@@ -52,6 +54,8 @@
     void adoptSubmission(const SimulatedHandOver::Job&);
     void checkUnconfirmed();
     void confirmOrigins();
+    bool inheritedStateKnown() const;
+    void handleInheritedStateKnown();
     void openSessions();
     void runScheduler();
     void execute(const ShardAction&);
@@ -63,6 +67,9 @@
     Handlers handlers_;
     ProcessKey predecessor_;
     ShardEngine engine_;
+    SimulatedDurableJobs durable_;
+    // Handed over, until the journal is read.
+    std::vector<TransferredJob> inheritedDurableJobs_;
     std::map<UpstreamId, std::shared_ptr<SimulatedSession>> sessions_;
     std::map<SubmissionId, Submission> submissions_;
     std::map<SimulatedSubmitter, SubmissionId> bySubmitter_;
--- a/libs/shards/tests/SimulatedUpstream.h
+++ b/libs/shards/tests/SimulatedUpstream.h
@@ -18,6 +18,8 @@
         /// When a stop takes effect; 0 if the run is not being stopped. Until then the run is in neither list of a
         /// report and still uses its capacity.
         int stopEffectiveAt { 0 };
+        /// Size of the gang that the task belongs to; 1 if there is none.
+        std::uint32_t gangSize { 1 };
     };
     std::int64_t capacity { 32'000 };
     std::int64_t startedUnixMs { 1000 };
--- a/libs/shards/tests/SimulatedWorld.cpp
+++ b/libs/shards/tests/SimulatedWorld.cpp
@@ -8,7 +8,8 @@
     : random(seed)
 {
     for (int i = 0; i < upstreamCount; ++i)
-        hosts_.push_back({ .state = {}, .clockRate = oneIn(2) ? 0.98 : 1.0, .disturbedUntil = 0 });
+        hosts_.push_back(
+            { .state = {}, .clockRate = oneIn(2) ? 0.98 : 1.0, .disturbedUntil = 0, .failingUntil = 0, .cutUntil = 0 });
 }
 
 std::int64_t SimulatedWorld::clockOf(const Host& host) const
@@ -22,6 +23,23 @@
         traces[job] += std::to_string(now) + " " + text + "\n";
 }
 
+std::string SimulatedWorld::traceOfViolation() const
+{
+    std::string wanted;
+    for (const auto& [job, events] : traces) {
+        if (job.empty() || violation.find(" " + job.value + " ") != std::string::npos)
+            wanted += (job.empty() ? "all jobs" : job.value) + ":\n" + events;
+    }
+    return wanted;
+}
+
+void SimulatedWorld::noteDurableStart(const StartTask& start)
+{
+    const auto broken = history.noteStart(start);
+    if (violation.empty() && !broken.empty())
+        violation = broken + " at " + std::to_string(now);
+}
+
 void SimulatedWorld::setMaxListedEnds(std::size_t count)
 {
     for (auto& host : hosts_)
@@ -32,17 +50,19 @@
 {
     for (int i = 0; i < upstreamCount; ++i) {
         auto& host = hosts_[static_cast<std::size_t>(i)];
-        if (oneIn(800))
+        if (!durableJobs && oneIn(800))
             host.disturbedUntil = now + between(300, 3'000);
         const auto running = host.state.running;
         for (const auto& each : running) {
+            if (each.gangSize > 1 && !isRunning(host, each))
+                continue;
             std::optional<RunEnd> how;
             if (each.stopEffectiveAt != 0 && each.stopEffectiveAt <= now)
                 how = RunEnd::Stopped;
             else if (host.state.leaseUntil <= clockOf(host))
                 how = RunEnd::LeaseExpired;
             else if (each.endsAt <= now)
-                how = oneIn(20) ? RunEnd::Failed : RunEnd::Done;
+                how = host.failingUntil > now || oneIn(20) ? RunEnd::Failed : endOfCompleteRun(each);
             if (!how)
                 continue;
             runsStopped += *how == RunEnd::Stopped ? 1 : 0;
@@ -51,6 +71,10 @@
                 "ends on " + upstreamId(i).value + " run " + std::to_string(each.run.value) + " how "
                     + std::to_string(static_cast<int>(*how)));
             host.state.end(each.task, *how);
+            if (durableJobs)
+                history.noteEnd(each.task, each.run, *how);
+            if (each.gangSize > 1)
+                endGang(each, *how);
         }
     }
     const auto due
@@ -62,14 +86,51 @@
         each.run();
 }
 
+bool SimulatedWorld::isRunning(const Host& host, const SimulatedUpstream::Running& run)
+{
+    return std::any_of(host.state.running.begin(), host.state.running.end(),
+        [&](const auto& each) { return each.task == run.task && each.run == run.run; });
+}
+
+bool SimulatedWorld::areOfOneGang(const SimulatedUpstream::Running& a, const SimulatedUpstream::Running& b)
+{
+    return a.task.occurrenceKey() == b.task.occurrenceKey() && a.task.step == b.task.step && a.run == b.run;
+}
+
+RunEnd SimulatedWorld::endOfCompleteRun(const SimulatedUpstream::Running& run) const
+{
+    std::uint32_t members = 0;
+    for (const auto& host : hosts_)
+        members += static_cast<std::uint32_t>(std::count_if(host.state.running.begin(), host.state.running.end(),
+            [&](const auto& each) { return areOfOneGang(each, run); }));
+    return run.gangSize == 1 || members == run.gangSize ? RunEnd::Done : RunEnd::GangIncomplete;
+}
+
+void SimulatedWorld::endGang(const SimulatedUpstream::Running& member, RunEnd how)
+{
+    for (auto& host : hosts_) {
+        const auto running = host.state.running;
+        for (const auto& each : running) {
+            if (!areOfOneGang(each, member))
+                continue;
+            // A completed gang has one end for all members.
+            history.noteEnd(each.task, each.run, how == RunEnd::Done ? how : RunEnd::GangBroken);
+            if (how == RunEnd::Done)
+                std::erase_if(host.state.running, [&](const auto& other) { return other.task == each.task; });
+            else
+                host.state.end(each.task, RunEnd::GangBroken);
+        }
+    }
+}
+
 void SimulatedWorld::call(int upstream, std::uint64_t fence, const UpstreamRequest& request,
     const std::weak_ptr<ProcessInbox>& answerTo, const std::function<void(const UpstreamResponse&)>& done)
 {
-    const bool disturbed = hosts_[static_cast<std::size_t>(upstream)].disturbedUntil > now;
-    const unsigned faultOdds = disturbed ? 5 : 100;
-    if (oneIn(faultOdds))
+    const auto& callee = hosts_[static_cast<std::size_t>(upstream)];
+    const unsigned faultOdds = callee.disturbedUntil > now ? 5 : 100;
+    if (callee.cutUntil > now || oneIn(faultOdds))
         return;
-    const auto arrivesAt = now + (oneIn(faultOdds) ? between(50, 3'000) : between(1, 5));
+    const auto arrivesAt = now + (oneIn(faultOdds) && !durableJobs ? between(50, 3'000) : between(1, 5));
     // The lease of a late request is as long as it was when the request was sent.
     auto arriving = request;
     if (auto* report = std::get_if<ReportRequest>(&arriving); report != nullptr && report->deadline)
@@ -122,6 +183,10 @@
         violation = "capacity exceeded on " + start.upstream.value + " by " + start.task.job.value + " at "
             + std::to_string(now);
     for (const auto& host : hosts_) {
+        const bool completed = std::any_of(host.state.done.begin(), host.state.done.end(),
+            [&](const auto& each) { return each.task == start.task && each.acknowledged; });
+        if (durableJobs && completed && violation.empty())
+            violation = "a completed task of " + start.task.job.value + " is started again at " + std::to_string(now);
         for (const auto& each : host.state.running) {
             if (each.task == start.task && violation.empty())
                 violation = "two runs of a task of " + start.task.job.value + " at " + std::to_string(now);
@@ -162,7 +227,8 @@
     state.running.push_back({ .task = start.task,
         .run = start.run,
         .milliCores = step.need.milliCores,
-        .endsAt = now + runTime * between(80, 120) / 100 });
+        .endsAt = now + runTime * between(80, 120) / 100,
+        .gangSize = step.gang ? step.count : 1 });
     ++runsStarted;
     trace(start.task.job,
         "starts on " + start.upstream.value + " run " + std::to_string(start.run.value) + " fence "
--- a/libs/shards/tests/SimulatedWorld.h
+++ b/libs/shards/tests/SimulatedWorld.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "SimulatedRunHistory.h"
 #include "SimulatedUpstream.h"
 
+#include "balsammill/shards/JobState.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -30,6 +33,19 @@
     ProcessKey handedOverBy;
 };
 
+/// Journal of a shard in the store.
+struct SimulatedJournal {
+    struct Job {
+        std::shared_ptr<const JobSpec> spec;
+        std::optional<JobStateRecord> state;
+    };
+    /// Each write raises it, as the version of the fence row.
+    std::uint64_t version { 0 };
+    std::uint64_t epoch { 0 };
+    RunNumber lastReservedRun {};
+    std::map<JobId, Job> jobs;
+};
+
 /// Which rules of the confirmation protocol are in force.
 enum class Confirmation {
     Off,
@@ -91,9 +107,22 @@
     /// Sends a call to an upstream. It may be lost or carried out late, and so may its response.
     void call(int upstream, std::uint64_t fence, const UpstreamRequest&, const std::weak_ptr<ProcessInbox>& answerTo,
         const std::function<void(const UpstreamResponse&)>& done);
+    /// Sends a call to the store.
+    void callStore(std::function<void()> execute) { events_.push_back({ now + storeDelay(), std::move(execute) }); }
+    /// Time that a call to the store or its answer takes.
+    int storeDelay() { return oneIn(20) ? between(20, 300) : between(1, 10); }
+    bool isStoreAway() const { return now < storeAwayUntil; }
+    /// Most runs on this upstream fail soon until then.
+    void failRunsUntil(int upstream, int until) { hosts_[static_cast<std::size_t>(upstream)].failingUntil = until; }
+    /// No call reaches this upstream until then.
+    void cutUntil(int upstream, int until) { hosts_[static_cast<std::size_t>(upstream)].cutUntil = until; }
     static UpstreamId upstreamId(int upstream) { return UpstreamId("u" + std::to_string(upstream)); }
     static int upstreamIndex(const UpstreamId& id) { return std::stoi(id.value.substr(1)); }
     void trace(const JobId& job, const std::string& text);
+    /// Events of the job that the violation names, and of the processes.
+    std::string traceOfViolation() const;
+    /// An owner starts a durable task.
+    void noteDurableStart(const StartTask&);
     void setMaxListedEnds(std::size_t);
 
     std::mt19937 random;
@@ -104,7 +133,15 @@
     /// Owners raise their fencing token when a grant gets no answer, and grant nothing more until a request is
     /// answered.
     bool limitsLateGrants { true };
+    /// The shards have durable jobs. Calls to upstreams are then not late: no lease is granted after the end of an
+    /// owner.
+    bool durableJobs { false };
+    /// Owners keep their run numbers apart by reservations.
+    bool reservesRunNumbers { true };
+    int storeAwayUntil { 0 };
     std::map<int, ShardRecord> records;
+    std::map<int, SimulatedJournal> journals;
+    SimulatedRunHistory history;
     std::string violation;
     std::uint64_t runsStarted { 0 };
     std::uint64_t runsStopped { 0 };
@@ -120,6 +157,8 @@
         double clockRate { 1.0 };
         /// Calls are lost or late more often until then.
         int disturbedUntil { 0 };
+        int failingUntil { 0 };
+        int cutUntil { 0 };
     };
     struct Event {
         int at { 0 };
@@ -127,6 +166,12 @@
     };
 
     std::int64_t clockOf(const Host&) const;
+    static bool isRunning(const Host&, const SimulatedUpstream::Running&);
+    static bool areOfOneGang(const SimulatedUpstream::Running&, const SimulatedUpstream::Running&);
+    /// How a run ends that has reached its end without a fault.
+    RunEnd endOfCompleteRun(const SimulatedUpstream::Running&) const;
+    /// Ends the other members of a gang after the end of one.
+    void endGang(const SimulatedUpstream::Running& member, RunEnd);
     UpstreamResponse execute(int upstream, std::uint64_t fence, const StartRequest&);
     UpstreamResponse execute(int upstream, std::uint64_t fence, const StopRequest&);
     UpstreamResponse execute(int upstream, std::uint64_t fence, const ReportRequest&);
