Begin again if the shard's record names this entry in a later epoch

What callers would see: a shard without an owner, whose jobs wait until the next change of its record. Found by the schedules of durable jobs.

Cause: an owner that hands its shard over, and gets it back before it has read the record between, sees a record that names itself.

Change: a record that names this entry in a later epoch than that of its server ends the server and starts a new one.

The simulated node has the same change; there is no test with real processes of this order of events.

--- a/libs/node/src/ownership/ShardOwnership.cpp
+++ b/libs/node/src/ownership/ShardOwnership.cpp
@@ -401,6 +401,10 @@
     if (!tryParseEndpoint(owner->address))
         context_.reportBadRecord(
             "shard.bad_record", ShardDirectory::table, { { "key", name.value }, { "reason", "address" } });
+    // A record that was replaced within a short time may never have been seen here.
+    if (const auto found = servers_.find(name);
+        found != servers_.end() && isOwnRecord(*owner) && owner->epoch > found->second->epoch())
+        dropShard(name, "another owner came between this epoch and that of the record");
     const bool serving = servers_.contains(name);
     const bool handedOver
         = owner->handedOverBy == context_.settings.vm && owner->handedOverByIncarnation == context_.incarnation;
--- a/libs/shards/tests/ResendProperties.cpp
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -155,6 +155,20 @@
     CHECK_EQ(violation, "");
 }
 
+// Guards against a second run of a task: an owner handed the shard over before it had read the journal, and without
+// what its predecessor had told it.
+TEST_CASE("Runs that an owner was told of and has not taken over yet are handed over too")
+{
+    CHECK_EQ(SuccessionSimulation(2700742277, {}).run(), "");
+}
+
+// Guards against a shard without an owner: its owner had given it away and got it back before it read the record, went
+// on in its former epoch until it was fenced, and did not begin again.
+TEST_CASE("An owner that gets its shard back before it has seen the change begins again in the new epoch")
+{
+    CHECK_EQ(SuccessionSimulation(2621669511, {}).run(), "");
+}
+
 // Guards against a simulation in which owners in a row never meet each other's run numbers.
 TEST_CASE("The schedules with durable jobs find a run number that is used again if none are reserved")
 {
--- a/libs/shards/tests/SimulatedNode.cpp
+++ b/libs/shards/tests/SimulatedNode.cpp
@@ -418,6 +418,9 @@
 void SimulatedNode::handleRecordChange(int shard)
 {
     const auto& record = records_.at(shard);
+    if (const auto own = owners_.find(shard);
+        own != owners_.end() && record.owner == process_.key && own->second->epoch() < record.epoch)
+        dropOwner(shard, own->second->epoch());
     const auto found = owners_.find(shard);
     if (found != owners_.end() && record.owner != process_.key) {
         if (record.handedOverBy != process_.key) {
