Take over each occurrence that the former owner has started

What callers would see: two runs of a task at a time, after a handover at the moment when an occurrence becomes due.

Cause: an owner submits due occurrences to its engine on each tick. An occurrence that became due, and was started by the former owner, after the last tick was unknown to the engine when the handover arrived and the upstreams reported: what was handed over of it was dropped, and its run counted as one of a job that has ended and was stopped. One tick later the occurrence was started again, before the stop had taken effect.

Change: before it handles a handover or a report, an owner submits the occurrences that are due, and those that the handover names, even if its clock is behind that of the former owner.

Not covered: a former owner whose process ended and whose clock was ahead; its successor still learns of such an occurrence when its own clock says that it is due.

--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -402,6 +402,13 @@
     write();
 }
 
+void DurableJobs::submitStarted(const std::vector<Shards::TransferredJob>& handedOver)
+{
+    for (const auto& job : handedOver)
+        book_.expectStarted(job.key);
+    submitDueJobs();
+}
+
 void DurableJobs::submitDueJobs()
 {
     const auto now = monotonicNow();
--- a/libs/node/src/durable/DurableJobs.h
+++ b/libs/node/src/durable/DurableJobs.h
@@ -46,6 +46,9 @@
     /// True if all durable jobs of earlier owners have been read from the journal, or there are none.
     bool inheritedJobsLoaded() const { return state_ != State::OpeningExisting; }
 
+    /// Submits all occurrences to the engine that a former owner can have started: those that are due, and those that
+    /// it has handed over.
+    void submitStarted(const std::vector<Shards::TransferredJob>& handedOver);
     /// Calls the action with true once inheritedJobsLoaded() is true or close() was called; with false if the journal
     /// has not been read within a few seconds, because the store does not answer.
     void runWhenInheritedJobsLoaded(std::function<void(bool loaded)> action);
--- a/libs/node/src/serving/ShardServer.cpp
+++ b/libs/node/src/serving/ShardServer.cpp
@@ -226,6 +226,8 @@
         return;
     inheritedStateKnownAt_ = std::min(inheritedStateKnownAt_, monotonicNow());
     const auto leasesExpireAt = monotonicNow() + UpstreamLeases::maxLifetime(context_.settings);
+    // A run of an occurrence that the engine does not have counts as one of a job that has ended.
+    durable_.submitStarted(inheritedDurableJobs_);
     for (const auto& inherited : inheritedDurableJobs_) {
         engine_.mergeProgress(inherited.key, inherited.progress, monotonicNow());
         engine_.expectRuns(inherited.key, inherited.expected, leasesExpireAt);
--- a/libs/shards/include/balsammill/shards/DurableJobTable.h
+++ b/libs/shards/include/balsammill/shards/DurableJobTable.h
@@ -89,6 +89,10 @@
     /// StoredStateLimits::maxOpenOccurrences. To be called after restore().
     void expectStartsBeyondLimits(std::int64_t nowUnixMs);
 
+    /// The former owner has started this occurrence, so it is due, even if the clock of this process is behind. No
+    /// effect if the job is unknown.
+    void expectStarted(const OccurrenceKey&);
+
     /// Returns false if the job is already accepted, true if a batch has to be written first.
     bool submit(std::shared_ptr<const JobSpec>);
     /// True if the job is accepted, or submitted and not written yet.
--- a/libs/shards/src/DurableJobTable.cpp
+++ b/libs/shards/src/DurableJobTable.cpp
@@ -25,6 +25,8 @@
     std::uint32_t nextOccurrence { 0 };
     // Occurrences below this number may have been started by a former owner.
     std::uint32_t mayHaveStartedBelow { 0 };
+    // Occurrences below this number have been started by a former owner, whatever the clock says.
+    std::uint32_t dueBelow { 0 };
     // Occurrences that takeDue() has returned, and those of them that are completed in the store. A later owner has to
     // continue the others: it takes as many of the lowest occurrences that are not completed in the store.
     std::size_t taken { 0 };
@@ -41,6 +43,10 @@
     {
         return nextOccurrence < mayHaveStartedBelow || openInStore() < limits.maxOpenOccurrences;
     }
+    bool isNextDue(std::int64_t nowUnixMs) const
+    {
+        return nextOccurrence < dueBelow || dueUnixMs(nextOccurrence) <= nowUnixMs;
+    }
     bool hasProgress() const { return !open.empty() || completed.count() > 0; }
 
     std::uint32_t occurrenceCount() const { return spec->schedule ? spec->schedule->count : 1; }
@@ -127,6 +133,15 @@
     }
 }
 
+void DurableJobTable::expectStarted(const OccurrenceKey& key)
+{
+    auto* entry = find(key.job);
+    if (entry == nullptr || isFinal(entry->state) || key.occurrence >= entry->occurrenceCount())
+        return;
+    entry->dueBelow = std::max(entry->dueBelow, key.occurrence + 1);
+    entry->mayHaveStartedBelow = std::max(entry->mayHaveStartedBelow, entry->dueBelow);
+}
+
 bool DurableJobTable::areOpenLimitsKept()
 {
     std::erase_if(beyondLimits_, [this](const JobId& id) {
@@ -273,8 +288,7 @@
     for (auto it = jobsWithPendingOccurrences_.begin(); it != jobsWithPendingOccurrences_.end();) {
         auto& entry = *entries_.at(*it);
         const auto count = isFinal(entry.state) ? 0 : entry.occurrenceCount();
-        while (
-            entry.nextOccurrence < count && entry.mayTakeNext() && entry.dueUnixMs(entry.nextOccurrence) <= nowUnixMs) {
+        while (entry.nextOccurrence < count && entry.mayTakeNext() && entry.isNextDue(nowUnixMs)) {
             const auto number = entry.nextOccurrence++;
             if (entry.completed.contains(number))
                 continue;
--- a/libs/shards/tests/DurableJobTableTests.cpp
+++ b/libs/shards/tests/DurableJobTableTests.cpp
@@ -319,3 +319,25 @@
         CHECK_EQ(recorded, reported);
     }
 }
+
+// Guards against a run that is stopped and started again by the next owner: its clock is behind that of the owner that
+// started the occurrence, so that it did not know of the occurrence yet.
+TEST_CASE("An occurrence that a former owner has started is due, whatever the clock says")
+{
+    auto spec = makeSpec({ .id = durableJobId.value });
+    spec.durable = true;
+    spec.schedule = RepeatSchedule { .count = 4, .firstRunUnixMs = 1'000, .interval = std::chrono::milliseconds(100) };
+    DurableJobTable book(
+        { .stateLimits = [](const JobSpec&) { return StoredStateLimits { .maxOpenOccurrences = 1 }; } });
+    book.restore(durableJobId, std::make_shared<const JobSpec>(spec), std::nullopt);
+    CHECK(book.takeDue(990).empty());
+    book.expectStarted({ .job = durableJobId, .occurrence = 1 });
+    book.expectStarted({ .job = JobId("00000000000000ff"), .occurrence = 1 });
+    const auto due = book.takeDue(990);
+    REQUIRE_EQ(due.size(), 2);
+    CHECK_EQ(due[0].key.occurrence, 0);
+    CHECK_EQ(due[1].key.occurrence, 1);
+    CHECK(due[1].inherited.has_value());
+    // The others stay due at their time and within the limit.
+    CHECK(book.takeDue(1'300).empty());
+}
--- a/libs/shards/tests/SimulatedDurableJobs.cpp
+++ b/libs/shards/tests/SimulatedDurableJobs.cpp
@@ -187,6 +187,13 @@
     write();
 }
 
+void SimulatedDurableJobs::submitStarted(const std::vector<TransferredJob>& handedOver)
+{
+    for (const auto& job : handedOver)
+        table_.expectStarted(job.key);
+    submitDueJobs();
+}
+
 void SimulatedDurableJobs::submitDueJobs()
 {
     for (const auto& due : table_.takeDue(process_.now())) {
--- a/libs/shards/tests/SimulatedDurableJobs.h
+++ b/libs/shards/tests/SimulatedDurableJobs.h
@@ -22,6 +22,7 @@
 
     void open();
     bool isOpen() const { return state_ == State::Open; }
+    void submitStarted(const std::vector<TransferredJob>& handedOver);
     void submit(const std::shared_ptr<const JobSpec>&);
     void recordStarted(const JobId& job) { table_.recordStarted(job); }
     void recordProgress(const ProgressChanged& change) { table_.recordProgress(change); }
--- a/libs/shards/tests/SimulatedOwner.cpp
+++ b/libs/shards/tests/SimulatedOwner.cpp
@@ -50,6 +50,7 @@
 {
     if (!inheritedStateKnown())
         return;
+    durable_.submitStarted(inheritedDurableJobs_);
     for (const auto& each : std::exchange(inheritedDurableJobs_, {})) {
         engine_.mergeProgress(each.key, each.progress, at(process_.now()));
         engine_.expectRuns(each.key, each.expected, at(process_.now() + SimulatedSession::maxLeaseLifetimeMs));
