Acknowledge ends of a failed job's other occurrences once its state is stored

What callers would see: a task that has completed is started again after the owner's process has ended.

Cause: when an occurrence fails, the engine drops the job's other occurrences. Ends of their runs that were reported later found no job and no entry for one that has ended, so that they were acknowledged at once. The job's final state is written up to 50 ms later; if the owner ended before that, the next one continued the job without these ends.

Change: occurrences that are dropped because their job has failed are kept as ended jobs with unrecorded progress, as the failed one itself is, until a batch with the final state is written.

--- a/libs/node/src/durable/DurableJobs.cpp
+++ b/libs/node/src/durable/DurableJobs.cpp
@@ -226,7 +226,7 @@
 {
     book_.recordFinished(finished.job, finished.result, unixMs());
     if (finished.result != Shards::JobResult::Completed)
-        engine_.cancelDurable(finished.job.job, monotonicNow());
+        engine_.failDurable(finished.job.job, monotonicNow());
 }
 
 Shards::RunNumber DurableJobs::runsToReserve() const
@@ -387,7 +387,7 @@
         break;
     case Shards::DurableJobTable::RejectionEffect::JobFailed:
         consequence = "failed";
-        engine_.cancelDurable(change.job, monotonicNow());
+        engine_.failDurable(change.job, monotonicNow());
         break;
     case Shards::DurableJobTable::RejectionEffect::JobSetAside:
         consequence = "set_aside";
--- a/libs/shards/include/balsammill/shards/ShardEngine.h
+++ b/libs/shards/include/balsammill/shards/ShardEngine.h
@@ -154,8 +154,11 @@
     void setOwnershipValidUntil(TimePoint until) { ownershipValidUntil_ = until; }
     void delayInheritedUntil(TimePoint until) { inheritedDelayedUntil_ = until; }
     TimePoint inheritedDelayedUntil() const { return inheritedDelayedUntil_; }
-    /// Drops all occurrences of a job and stops their runs.
+    /// Drops all occurrences of a job, whose final state is in the store, and stops their runs.
     void cancelDurable(const JobId&, TimePoint now);
+    /// As cancelDurable(), for a job whose final state is not in the store yet: until handleRecorded() the ends of its
+    /// runs are not acknowledged.
+    void failDurable(const JobId&, TimePoint now);
     /// Empty if this engine has no such unfinished occurrence.
     std::optional<JobProgress> progressOf(const OccurrenceKey&) const;
     /// The progress of each of these jobs up to its mark is in the store.
@@ -260,6 +263,7 @@
     bool adoptRun(Upstream&, const RunningTask&, TimePoint now);
     static JobProgress progressOf(const Job&);
     static void applyProgress(Job&, const JobProgress&);
+    std::vector<OccurrenceKey> durableOccurrencesOf(const JobId&) const;
     ProgressMark emitProgressChanged(const OccurrenceKey&);
     bool mayAdoptRun(const Job&, const Upstream&, const TaskKey&) const;
     bool mayApplyUntrackedEnd(const Job&, const Upstream&, const EndedTask&) const;
--- a/libs/shards/src/ShardEngineDurable.cpp
+++ b/libs/shards/src/ShardEngineDurable.cpp
@@ -36,14 +36,29 @@
     job.runFloor = std::max({ job.runFloor, runNumberFloor_, progress.highestRun });
 }
 
-void ShardEngine::cancelDurable(const JobId& id, TimePoint now)
+std::vector<OccurrenceKey> ShardEngine::durableOccurrencesOf(const JobId& id) const
 {
     std::vector<OccurrenceKey> keys;
     for (const auto& [key, job] : jobs_) {
         if (key.job == id && job->spec->durable)
             keys.push_back(key);
     }
-    for (const auto& key : keys) {
+    return keys;
+}
+
+void ShardEngine::failDurable(const JobId& id, TimePoint now)
+{
+    // A later owner that does not find the final state continues these occurrences.
+    for (const auto& key : durableOccurrencesOf(id)) {
+        const auto mark = emitProgressChanged(key);
+        unrecordedJobs_[key] = { .mark = mark, .progress = progressOf(*findJob(key)) };
+    }
+    cancelDurable(id, now);
+}
+
+void ShardEngine::cancelDurable(const JobId& id, TimePoint now)
+{
+    for (const auto& key : durableOccurrencesOf(id)) {
         stopRuns(key, now);
         jobs_.erase(key);
     }
--- a/libs/shards/tests/DurableJobTests.cpp
+++ b/libs/shards/tests/DurableJobTests.cpp
@@ -179,3 +179,31 @@
     CHECK(fixture.scheduleAndTake<StartTask>(60).empty());
     CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 1);
 }
+
+// Guards against a completed task that a later owner starts again: the job had failed with another occurrence, the end
+// was acknowledged at once, and the owner ended before the job's final state was stored.
+TEST_CASE("Ends of the other occurrences of a failed job are acknowledged once its final state is stored")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1"));
+    const auto spec = durable({ .maxAttempts = 1 });
+    const OccurrenceKey failing { .job = spec->id, .occurrence = 0 };
+    const OccurrenceKey other { .job = spec->id, .occurrence = 1 };
+    for (const auto& key : { failing, other })
+        fixture.engine.submitDurable(key, spec, at(0));
+    const auto starts = fixture.scheduleAndTake<StartTask>(10);
+    REQUIRE_EQ(starts.size(), 2);
+    for (const auto& start : starts)
+        fixture.confirmStart(start, 11);
+    const auto& first = starts[starts[0].task.occurrenceKey() == failing ? 0 : 1];
+    const auto& second = starts[starts[0].task.occurrenceKey() == failing ? 1 : 0];
+    fixture.reportEnd(first, 1, RunEnd::Failed, 20);
+    REQUIRE_EQ(fixture.takeActionsOf<FinishJob>().size(), 1);
+    fixture.engine.failDurable(spec->id, at(20));
+    const auto changes = fixture.takeActionsOf<ProgressChanged>();
+    fixture.engine.handleRecorded({ { .job = failing, .mark = ProgressMark(1) } });
+    fixture.reportEnd(second, 2, RunEnd::Done, 30);
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 1);
+    fixture.engine.handleRecorded(changes);
+    CHECK_EQ(fixture.engine.lastEndToAcknowledge(u1), 2);
+}
--- a/libs/shards/tests/SimulatedDurableJobs.cpp
+++ b/libs/shards/tests/SimulatedDurableJobs.cpp
@@ -124,7 +124,7 @@
 {
     table_.recordFinished(finished.job, finished.result, process_.now());
     if (finished.result != JobResult::Completed)
-        engine_.cancelDurable(finished.job.job, at(process_.now()));
+        engine_.failDurable(finished.job.job, at(process_.now()));
 }
 
 RunNumber SimulatedDurableJobs::runsToReserve() const
