--- a/libs/shards/tests/ResendProperties.cpp
+++ b/libs/shards/tests/ResendProperties.cpp
@@ -169,6 +169,20 @@
     CHECK_EQ(SuccessionSimulation(2621669511, {}).run(), "");
 }
 
+// Guards against a second run of a task: an occurrence became due and was started just before a handover, and its new
+// owner did not know of it yet when the run was reported.
+TEST_CASE("An occurrence that was started just before a handover is taken over with its run")
+{
+    CHECK_EQ(SuccessionSimulation(464659315, {}).run(), "");
+}
+
+// Guards against a completed task that is started again: its end was acknowledged because another occurrence had failed
+// the job, and the owner ended before that was stored.
+TEST_CASE("A completed task of a job that has failed is not started again if the failure was not stored")
+{
+    CHECK_EQ(SuccessionSimulation(2388716826, {}).run(), "");
+}
+
 // Guards against a simulation in which owners in a row never meet each other's run numbers.
 TEST_CASE("The schedules with durable jobs find a run number that is used again if none are reserved")
 {
