Pause an upstream again if the first task after a pause fails there

What callers saw: a job ended as failed although only one upstream failed its runs.

Cause: an upstream is paused after two tasks in a row have failed there for the first time, and then tried out with one task at a time. The failure of that task counted as one of two, and its further failures as none, since a task that fails wherever it runs says nothing about the upstream. With all other upstreams full the task went back to it until its attempts were used up.

Change: while an upstream is tried out, the first failure of a task pauses it again, for twice as long.

--- a/libs/shards/src/ShardEngineEnds.cpp
+++ b/libs/shards/src/ShardEngineEnds.cpp
@@ -161,7 +161,8 @@
     auto& task = job.steps[key.step].tasks[key.index];
     // Only the first failure of a task counts against an upstream, because a task that fails wherever it runs says
     // nothing about the upstream.
-    if (task.counted.failures == 0 && ++upstream.consecutiveFailures >= failuresBeforeSuspicion)
+    if (task.counted.failures == 0
+        && (upstream.onProbation || ++upstream.consecutiveFailures >= failuresBeforeSuspicion))
         suspect(upstream, now);
     task.counted.addFailure(end.run);
     actions_.emplace_back(TaskFailed { .upstream = upstream.info.id,
--- a/libs/shards/tests/ShardEngineTests.cpp
+++ b/libs/shards/tests/ShardEngineTests.cpp
@@ -516,3 +516,29 @@
         CHECK_NE(starts[0].upstream, starts[1].upstream);
     }
 }
+
+// Guards against a job that fails because one upstream does: its only task went back to the upstream that was being
+// tried out after a pause, four times within a second, since all others were busy (review case 11).
+TEST_CASE("An upstream that fails the first task after a pause is paused again")
+{
+    EngineFixture fixture;
+    fixture.addUpstream(makeUpstream("u1"));
+    std::uint64_t sequence = 0;
+    // Two tasks that fail pause the upstream.
+    fixture.submit({ .id = "00000000000000a1", .tasks = 2, .maxAttempts = 4, .stretch = 100 }, 0);
+    for (const auto& start : fixture.scheduleAndTake<StartTask>(10)) {
+        fixture.confirmStart(start, 11);
+        fixture.reportEnd(start, ++sequence, RunEnd::Failed, 20);
+    }
+    CHECK(fixture.scheduleAndTake<StartTask>(30).empty());
+    fixture.engine.cancel(SubmissionId(1), at(40));
+    fixture.submit({ .id = "00000000000000a2", .maxAttempts = 4, .stretch = 100 }, 50);
+    const auto tried = fixture.scheduleAndTake<StartTask>(1'100);
+    REQUIRE_EQ(tried.size(), 1);
+    fixture.confirmStart(tried.front(), 1'101);
+    fixture.reportEnd(tried.front(), ++sequence, RunEnd::Failed, 1'110);
+    CHECK(fixture.scheduleAndTake<StartTask>(1'120).empty());
+    // The pause has doubled.
+    CHECK(fixture.scheduleAndTake<StartTask>(3'000).empty());
+    CHECK_EQ(fixture.scheduleAndTake<StartTask>(3'200).size(), 1);
+}
