--- a/libs/shards/tests/SimulatedWorld.h
+++ b/libs/shards/tests/SimulatedWorld.h
@@ -112,7 +112,7 @@
     /// Time that a call to the store or its answer takes.
     int storeDelay() { return oneIn(20) ? between(20, 300) : between(1, 10); }
     bool isStoreAway() const { return now < storeAwayUntil; }
-    /// Most runs on this upstream fail soon until then.
+    /// Runs that end on this upstream before then have failed.
     void failRunsUntil(int upstream, int until) { hosts_[static_cast<std::size_t>(upstream)].failingUntil = until; }
     /// No call reaches this upstream until then.
     void cutUntil(int upstream, int until) { hosts_[static_cast<std::size_t>(upstream)].cutUntil = until; }
